--- a/bench/entry-overhead.ts
+++ b/bench/entry-overhead.ts
@@ -15,7 +15,7 @@
 import { Metrics } from '../src/metrics/index.js'
 import { TwoChoiceRouter } from '../src/routing/index.js'
 import { DEFAULT_ENGINE, MemoryStore, serveEngine, servePlain, StandinEngine, StandinPlain } from '../src/standin/index.js'
-import { HttpTargetClients } from '../src/target/index.js'
+import { HttpTargetClients } from '../src/target-clients/index.js'
 import { systemEnv } from '../src/time/index.js'
 import { UsageCounters } from '../src/usage/index.js'
 
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- a/src/authority/lease.ts
+++ b/src/authority/lease.ts
@@ -1,5 +1,5 @@
 /** The lease of one scope as a value that changes by described steps. */
-import type { Expected } from '../platform/index.js'
+import type { Expected } from '../external/index.js'
 import type { ScopeRecord } from '../schema/index.js'
 
 /** Time a lease lasts after the write that granted or renewed it, in ms. */
--- a/src/authority/retirement.ts
+++ b/src/authority/retirement.ts
@@ -1,7 +1,7 @@
 /** Proof that a former holder can no longer send. */
 import * as z from 'zod'
 import type { PeerClient } from '../peer/index.js'
-import type { VmDirectory } from '../platform/index.js'
+import type { VmDirectory } from '../external/index.js'
 import type { Env } from '../time/index.js'
 import type { SendGate } from './send-gate.js'
 
--- a/src/authority/scope-store.ts
+++ b/src/authority/scope-store.ts
@@ -1,7 +1,7 @@
 /** Conditional updates of a scope's object, each with a certain outcome before the next one is made. */
 import { Err, Ok, StepError, type Result } from '../errors/index.js'
 import type { Metrics } from '../metrics/index.js'
-import type { Expected, ObjectStore, StoredObject, StoreError } from '../platform/index.js'
+import type { Expected, ObjectStore, StoredObject, StoreError } from '../external/index.js'
 import { ScopeRecord } from '../schema/index.js'
 import { withDeadline, type Env } from '../time/index.js'
 import type { LeaseStep } from './lease.js'
--- /dev/null
+++ b/src/call/types.ts
@@ -0,0 +1,115 @@
+/** A call on its way from a caller to a target, without the words of any protocol. */
+import type * as errors from '../errors/index.js'
+import type * as serving from '../serving/index.js'
+import type * as upstream from '../upstream/index.js'
+
+/** A part of a prompt that requests may share. */
+export interface PromptPart {
+  readonly id: string
+  readonly tokens: number
+}
+
+/** What a model call asks for. */
+export interface Prompt {
+  readonly promptTokens: number
+  /** Most tokens of output. */
+  readonly outputTokens: number
+  /** Parts in order; the last one is the request's own. */
+  readonly parts: readonly PromptPart[]
+}
+
+/** A caller's request. */
+export interface Call {
+  /** Id of this attempt of the caller. */
+  readonly id: string
+  readonly method: string
+  /** Path and query, as received. */
+  readonly path: string
+  /** Headers that go on unchanged: names and values in turn. */
+  readonly headers: readonly string[]
+  readonly body: Uint8Array
+  readonly route: serving.ServingRoute
+  readonly service: serving.ServingService
+  /** Absent on open routes. */
+  readonly account?: string | undefined
+  /** 0 is the most urgent. */
+  readonly rank: number
+  readonly arrivedAt: number
+  /** When the caller or the route's timeout ends the call, on the steady clock. */
+  readonly deadlineAt: number
+  readonly prompt?: Prompt | undefined
+  /** Event after which the caller wants the stream to go on. */
+  readonly resumeAfter?: string | undefined
+  /** Says why the call must not be sent now: its key was withdrawn, or cannot be proved current. */
+  readonly forbidden: () => errors.Refusal | undefined
+}
+
+/** A prompt that another target has read and whose cache a target is to fetch. */
+export interface HandOver {
+  /** `ip:port` of the target that has read the prompt. */
+  readonly address: string
+  readonly handle: string
+}
+
+/** How a call is sent to one target. */
+export interface SendPlan {
+  readonly target: serving.TargetRecord
+  /** Time left, in ms. */
+  readonly leftMs: number
+  /** Event after which the stream goes on. */
+  readonly resumeAfter?: string | undefined
+  /** Only reads the prompt, and keeps its cache for a hand-over. */
+  readonly readOnly?: boolean | undefined
+  readonly handOver?: HandOver | undefined
+}
+
+/** Load that a target states in an answer. */
+export interface StatedLoad {
+  readonly running: number
+  readonly waiting: number
+  readonly slots: number
+}
+
+/** The head of a target's answer. */
+export interface AnswerHead {
+  readonly status: number
+  /** Id of the request that is answered. */
+  readonly id?: string | undefined
+  /** Whether the target states that it did not run the request. */
+  readonly notRun: boolean
+  /** Whether another target answers at the address. */
+  readonly wrongTarget: boolean
+  /** Whether the body is encoded, which no caller asked for. */
+  readonly encoded: boolean
+  readonly load?: StatedLoad | undefined
+  /** Headers for the caller: names and values in turn. */
+  readonly headers: readonly string[]
+}
+
+/** Translates between calls and what targets speak. */
+export interface TargetProtocol {
+  /** Headers of a send: names and values in turn. */
+  encodeHeaders (call: Call, plan: SendPlan): readonly string[]
+  decodeHead (status: number, headers: upstream.AnswerHeaders): AnswerHead
+  /** The handle in the answer to a send with `readOnly`; undefined when there is none. */
+  decodeHandle (body: Uint8Array): string | undefined
+  /** Tells a target that a handle is not needed. */
+  encodeRelease (handle: string): Pick<upstream.SendReq, 'method' | 'path'>
+}
+
+/** The answer to a caller. */
+export interface Reply {
+  readonly started: boolean
+  /** Sends a whole answer. */
+  whole (head: AnswerHead, body: Uint8Array): void
+  /** Starts a streamed answer. */
+  start (head: AnswerHead): void
+  /** Sends more of a stream; false while the caller does not keep up. */
+  write (chunk: Uint8Array): boolean
+  /** Ends a stream as complete. */
+  end (): void
+  /** Closes the connection so that the answer cannot look complete. */
+  cut (): void
+  /** Calls `fn` when the caller can take more. */
+  onDrain (fn: () => void): void
+}
--- a/src/claims/claim-page.ts
+++ b/src/claims/claim-page.ts
@@ -1,6 +1,6 @@
 /** One page of claims: edits that arrive while an update is in flight go together in the next one. */
 import type { RetryReason } from '../errors/index.js'
-import type { Expected, ObjectStore, StoredObject, StoreError } from '../platform/index.js'
+import type { Expected, ObjectStore, StoredObject, StoreError } from '../external/index.js'
 import { ClaimPage as PageSchema, type ClaimRow } from '../schema/index.js'
 import type { Env } from '../time/index.js'
 
--- a/src/claims/claim-sweeper.ts
+++ b/src/claims/claim-sweeper.ts
@@ -1,5 +1,5 @@
 /** Deletes pages of claims whose keys can no longer be accepted. */
-import type { ObjectStore } from '../platform/index.js'
+import type { ObjectStore } from '../external/index.js'
 import { ClaimPage as PageSchema } from '../schema/index.js'
 import type { Env } from '../time/index.js'
 import { pageKey, RETENTION_MS, SHARDS } from './claim-key.js'
--- a/src/claims/object-claims.ts
+++ b/src/claims/object-claims.ts
@@ -1,6 +1,6 @@
 /** Baseline claims: one object for each call, written before the call is sent. */
 import { Err, Ok, Refusal, type Ran, type RefusalReason, type Result } from '../errors/index.js'
-import type { ObjectStore } from '../platform/index.js'
+import type { ObjectStore } from '../external/index.js'
 import { ClaimRow } from '../schema/index.js'
 import { toBytes, toText } from './answer-text.js'
 import type { Claim, ClaimOutcome, ClaimReq, Claims, KeptAnswer } from './types.js'
--- a/src/cli/common.ts
+++ b/src/cli/common.ts
@@ -1,7 +1,7 @@
 /** What the commands share: exit codes, options and error output. */
 import * as commander from 'commander'
 import { OperatorClient } from '../operator/index.js'
-import { HttpPlatform } from '../platform/index.js'
+import { HttpPlatform } from '../external/index.js'
 
 /** Exit codes of all commands. */
 export const EXIT = {
--- a/src/cli/config-command.ts
+++ b/src/cli/config-command.ts
@@ -3,7 +3,7 @@
 import * as commander from 'commander'
 import { checkConfig, diffConfig, publishConfig, readConfig, type ConfigChange, type PublishedConfig } from '../config/index.js'
 import { Err, Ok, type Result } from '../errors/index.js'
-import type { ObjectStore } from '../platform/index.js'
+import type { ObjectStore } from '../external/index.js'
 import type { ConfigSet } from '../schema/index.js'
 import { entriesOption, EXIT, operatorClients, platformOption, withPlatform, type Io } from './common.js'
 
--- a/src/config/collect.ts
+++ b/src/config/collect.ts
@@ -1,6 +1,6 @@
 /** Deletes chunks that no head names any more. */
 import { Err, Ok, type Result } from '../errors/index.js'
-import type { ObjectStore, StoredObject, StoreError } from '../platform/index.js'
+import type { ObjectStore, StoredObject, StoreError } from '../external/index.js'
 import { ConfigHead } from '../schema/index.js'
 import { CHUNK_PREFIX, chunkKey, configOf, HEAD_KEY, type PublishedConfig } from './publish.js'
 
--- a/src/config/diff.ts
+++ b/src/config/diff.ts
@@ -1,7 +1,7 @@
 /** Differences between two configurations, by object and field. */
 import * as util from 'node:util'
 import { Err, Ok, type Result } from '../errors/index.js'
-import type { ObjectStore, StoreError } from '../platform/index.js'
+import type { ObjectStore, StoreError } from '../external/index.js'
 import { ConfigHead, type ConfigSet } from '../schema/index.js'
 import { joinConfig } from './chunks.js'
 import { readChunks, type PublishedConfig } from './publish.js'
--- a/src/config/edit.ts
+++ b/src/config/edit.ts
@@ -1,6 +1,6 @@
 /** Edits the published configuration, starting over when another writer was faster. */
 import { Err, Ok, type Result } from '../errors/index.js'
-import type { ObjectStore } from '../platform/index.js'
+import type { ObjectStore } from '../external/index.js'
 import type { ConfigSet } from '../schema/index.js'
 import { readConfirmedConfig } from './collect.js'
 import { publishConfig, readConfig, type PublishedConfig } from './publish.js'
--- a/src/config/publish.ts
+++ b/src/config/publish.ts
@@ -1,6 +1,6 @@
 /** Reads and publishes configurations in the platform's store. */
 import { Err, Ok, type Result } from '../errors/index.js'
-import type { Expected, ObjectStore, StoredObject, StoreError } from '../platform/index.js'
+import type { Expected, ObjectStore, StoredObject, StoreError } from '../external/index.js'
 import { ConfigHead, type ConfigSet } from '../schema/index.js'
 import { joinConfig, makeHead, splitConfig, type ConfigChunk } from './chunks.js'
 
--- a/src/config/store-source.ts
+++ b/src/config/store-source.ts
@@ -1,6 +1,6 @@
 /** Reads the configuration from the store and proves that it is current. */
 import { Err, Ok, StepError, type Result } from '../errors/index.js'
-import type { Expected, ObjectStore, StoredObject, StoreError } from '../platform/index.js'
+import type { Expected, ObjectStore, StoredObject, StoreError } from '../external/index.js'
 import { ConfigHead } from '../schema/index.js'
 import { withDeadline, type Env } from '../time/index.js'
 import { confirmHead } from './collect.js'
--- a/src/daemon/control-child.ts
+++ b/src/daemon/control-child.ts
@@ -8,7 +8,7 @@
 import type { Metrics } from '../metrics/index.js'
 import { OrderRunner, type IntentSender } from '../orders/index.js'
 import type { Peers } from '../peer/index.js'
-import type { ObjectStore, VmDirectory } from '../platform/index.js'
+import type { ObjectStore, VmDirectory } from '../external/index.js'
 import type { Env } from '../time/index.js'
 
 /** Runners remembered for the report; a duty makes a new one for each tenure. */
--- a/src/daemon/membership-child.ts
+++ b/src/daemon/membership-child.ts
@@ -7,7 +7,7 @@
   SYNC_METHOD, SyncReq, SyncRes, type MemberRecord
 } from '../membership/index.js'
 import type { Peers } from '../peer/index.js'
-import type { VmDirectory } from '../platform/index.js'
+import type { VmDirectory } from '../external/index.js'
 import type { Env } from '../time/index.js'
 
 /** Interval between reads of the VM list, in ms. */
--- a/src/daemon/spending-duty.ts
+++ b/src/daemon/spending-duty.ts
@@ -2,7 +2,7 @@
 import type { ScopeDuty, ScopeHandle } from '../authority/index.js'
 import type { Logger } from '../log/index.js'
 import type { Metrics } from '../metrics/index.js'
-import type { OrderedTarget, TargetOrdering } from '../platform/index.js'
+import type { OrderedTarget, TargetOrdering } from '../external/index.js'
 import type { PriceClass } from '../schema/index.js'
 import {
   noteOutOfStock, observeDemand, planSpending, START_SPENDING, startDemand,
--- a/src/daemon/target-publisher.ts
+++ b/src/daemon/target-publisher.ts
@@ -2,7 +2,7 @@
 import * as util from 'node:util'
 import { editConfig } from '../config/index.js'
 import { Err, Ok, type Result } from '../errors/index.js'
-import type { ObjectStore, OrderedTarget } from '../platform/index.js'
+import type { ObjectStore, OrderedTarget } from '../external/index.js'
 import type { ConfigSet, Target } from '../schema/index.js'
 
 /** Text by which an edit that changes nothing is recognised. */
--- a/src/daemon/targets-child.ts
+++ b/src/daemon/targets-child.ts
@@ -6,7 +6,7 @@
 import type { Logger } from '../log/index.js'
 import type { RoutedTarget, Router } from '../routing/index.js'
 import type { EngineState, LoadReport, Role } from '../schema/index.js'
-import type { CacheBatch, Engine, TargetClients, TargetError } from '../target/index.js'
+import type { CacheBatch, Engine, TargetClients, TargetError } from '../target-clients/index.js'
 import type { Result } from '../errors/index.js'
 import type { Env } from '../time/index.js'
 
--- a/src/daemon/usage-child.ts
+++ b/src/daemon/usage-child.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../log/index.js'
 import type { Metrics } from '../metrics/index.js'
 import type { Peers } from '../peer/index.js'
-import type { ObjectStore } from '../platform/index.js'
+import type { ObjectStore } from '../external/index.js'
 import { withDeadline, type Env } from '../time/index.js'
 import {
   REPLICATE_METHOD, REPLICATE_MS, ReplicaSender, ReplicaStore, UsageFlush, windowAt,
--- /dev/null
+++ b/src/duties/index.ts
@@ -0,0 +1,5 @@
+/** Duties that one gateway has for all. */
+export type { AccountCounts, DutyCalls, DutyError, DutyStamp, TargetWish } from './types.js'
+export { Lease, LEASE_KEY, type LeaseParts } from './lease.js'
+export { UsageLedger, COUNTS_PREFIX, type LedgerParts } from './usage-ledger.js'
+export { UsageCloser, FINALS_KEY, type CloserParts } from './usage-closer.js'
--- /dev/null
+++ b/src/duties/lease.ts
@@ -0,0 +1,160 @@
+/** Which gateway holds the duties: one object in the store, renewed by conditional updates. */
+import type * as external from '../external/index.js'
+import type * as log from '../log/index.js'
+import type * as serving from '../serving/index.js'
+import type * as time from '../time/index.js'
+import * as z from 'zod'
+import type * as types from './types.js'
+
+/** Key of the lease object. */
+export const LEASE_KEY = 'godwitpoint-duties/lease'
+
+/** Time between two renewals, and between two looks of the others, in ms. */
+const RENEW_MS = 1_000
+
+/** Time after the start of a renewal for which the holder acts, in ms. */
+const VALID_MS = 1_800
+
+/** Time without a change of the object after which another gateway takes the lease, in ms. Covers calls that the last holder sent just before its lease ended. */
+const TAKEOVER_MS = 3_500
+
+const LeaseValue = z.object({
+  holder: z.string(),
+  /** Changes with each start of a process. */
+  incarnation: z.string(),
+  token: z.int(),
+  renewal: z.int(),
+  released: z.boolean()
+})
+type LeaseValue = z.infer<typeof LeaseValue>
+
+/** What a lease needs from its surroundings. */
+export interface LeaseParts {
+  readonly env: time.Env
+  readonly elapsed: serving.ElapsedClock
+  readonly store: external.ObjectStore
+  readonly holder: string
+  readonly incarnation: string
+  /** Time for which two holders must not take turns, in ms. */
+  readonly turnMs: number
+  readonly log: log.Logger
+}
+
+interface Held {
+  readonly value: LeaseValue
+  readonly version: number
+  readonly validUntil: number
+  readonly actFrom: number
+}
+
+interface Seen {
+  readonly version: number
+  readonly at: number
+}
+
+/** Holds the lease, or waits for it. */
+export class Lease implements AsyncDisposable {
+  private held: Held | undefined
+  private seen: Seen | undefined
+  private timer: Disposable | undefined
+  private busy = false
+  private stopped = false
+
+  constructor (private readonly parts: LeaseParts) {}
+
+  /** Starts to look for the lease. */
+  start (): void {
+    this.timer = this.parts.env.timers.every(RENEW_MS, () => {
+      if (this.busy || this.stopped) return
+      this.busy = true
+      this.turn().catch((err: unknown) => this.parts.log.error({ err }, 'lease_failed')).finally(() => { this.busy = false })
+    })
+  }
+
+  /** The stamp for a call that is sent now; undefined when this gateway must not call. */
+  stamp (): types.DutyStamp | undefined {
+    const now = this.parts.elapsed.now()
+    if (this.held === undefined || this.stopped || now >= this.held.validUntil || now < this.held.actFrom) return undefined
+    return { holder: this.parts.holder, token: this.held.value.token }
+  }
+
+  /** Gives the lease back. */
+  async [Symbol.asyncDispose] (): Promise<void> {
+    this.stopped = true
+    this.timer?.[Symbol.dispose]()
+    const held = this.held
+    this.held = undefined
+    if (held === undefined) return
+    const value = { ...held.value, released: true, renewal: held.value.renewal + 1 }
+    const put = await this.parts.store.put(LEASE_KEY, JSON.stringify(value), held.version)
+    this.parts.log.info({ token: held.value.token, released: put.ok }, 'lease_released')
+  }
+
+  private async turn (): Promise<void> {
+    if (this.held !== undefined) await this.renew(this.held)
+    else await this.look()
+  }
+
+  private async renew (held: Held): Promise<void> {
+    const askedAt = this.parts.elapsed.now()
+    const value = { ...held.value, renewal: held.value.renewal + 1 }
+    const put = await this.parts.store.put(LEASE_KEY, JSON.stringify(value), held.version)
+    if (this.stopped) return
+    if (put.ok) {
+      this.held = { ...held, value, version: put.val.version, validUntil: askedAt + VALID_MS }
+      return
+    }
+    if (put.val.kind === 'conflict') this.lose('changed by another process')
+    else if (this.parts.elapsed.now() >= held.validUntil) this.lose(put.val.message)
+    else if (put.val.kind === 'unknown') await this.look()
+  }
+
+  private lose (reason: string): void {
+    this.parts.log.warn({ token: this.held?.value.token, reason }, 'lease_lost')
+    this.held = undefined
+    this.seen = undefined
+  }
+
+  private async look (): Promise<void> {
+    const askedAt = this.parts.elapsed.now()
+    const found = await this.parts.store.get(LEASE_KEY)
+    if (found.err || this.stopped) return
+    if (found.val === undefined) {
+      await this.take(undefined, 'absent')
+      return
+    }
+    const parsed = LeaseValue.safeParse(JSON.parse(found.val.value))
+    const value = parsed.success ? parsed.data : undefined
+    if (value !== undefined && value.incarnation === this.parts.incarnation && !value.released) {
+      this.adopt(value, found.val.version, askedAt)
+      return
+    }
+    if (this.held !== undefined) this.lose('held by another process')
+    if (this.seen?.version !== found.val.version) this.seen = { version: found.val.version, at: askedAt }
+    if (value?.released === true || askedAt - this.seen.at >= TAKEOVER_MS) await this.take(value, found.val.version)
+  }
+
+  // A write whose answer was lost took effect.
+  private adopt (value: LeaseValue, version: number, askedAt: number): void {
+    const actFrom = this.held?.actFrom ?? askedAt + this.parts.turnMs
+    if (this.held === undefined) this.parts.log.info({ token: value.token, adopted: true }, 'lease_taken')
+    this.held = { value, version, validUntil: askedAt + VALID_MS, actFrom }
+  }
+
+  private async take (last: LeaseValue | undefined, expected: external.Expected): Promise<void> {
+    const askedAt = this.parts.elapsed.now()
+    const value: LeaseValue = {
+      holder: this.parts.holder,
+      incarnation: this.parts.incarnation,
+      token: (last?.token ?? 0) + 1,
+      renewal: 0,
+      released: false
+    }
+    const put = await this.parts.store.put(LEASE_KEY, JSON.stringify(value), expected)
+    if (put.err || this.stopped) return
+    // After a release the last holder may have acted just now: two holders must not take turns within this time.
+    const actFrom = last?.released === true && last.holder !== this.parts.holder ? askedAt + this.parts.turnMs : askedAt
+    this.held = { value, version: put.val.version, validUntil: askedAt + VALID_MS, actFrom }
+    this.parts.log.info({ token: value.token, last_holder: last?.holder, last_released: last?.released }, 'lease_taken')
+  }
+}
--- /dev/null
+++ b/src/duties/usage-closer.ts
@@ -0,0 +1,146 @@
+/** Closes usage windows and reports them: the final counts are stored before they are sent. */
+import type * as external from '../external/index.js'
+import type * as log from '../log/index.js'
+import type * as time from '../time/index.js'
+import * as z from 'zod'
+import type * as lease from './lease.js'
+import type * as types from './types.js'
+import * as usageLedger from './usage-ledger.js'
+
+/** Key of the final counts. */
+export const FINALS_KEY = 'godwitpoint-duties/finals'
+
+/** Time between two looks, in ms. */
+const LOOK_MS = 700
+
+/** Time after the end of a window at which it is closed, in ms: every process has written its counts twice. */
+const CLOSE_DELAY_MS = 3_200
+
+/** Windows after which an unreported one is given up. */
+const GIVE_UP_WINDOWS = 12
+
+/** Age at which the counts of a process are deleted, in windows. */
+const DELETE_WINDOWS = 24
+
+const Counts = z.record(z.string(), z.int())
+const Finals = z.record(z.string(), z.object({ counts: Counts, reported: z.boolean() }))
+type Finals = z.infer<typeof Finals>
+const Windows = z.record(z.string(), Counts)
+
+/** What a closer needs from its surroundings. */
+export interface CloserParts {
+  readonly env: time.Env
+  readonly store: external.ObjectStore
+  readonly lease: lease.Lease
+  readonly calls: types.DutyCalls
+  readonly windowMs: number
+  readonly log: log.Logger
+}
+
+interface StoredFinals {
+  finals: Finals
+  version: external.Expected
+}
+
+/** Reports each window once; a successor sends the stored counts again, never others. */
+export class UsageCloser implements Disposable {
+  private timer: Disposable | undefined
+  private busy = false
+  private stored: StoredFinals | undefined
+  private lastClosed: number | undefined
+
+  constructor (private readonly parts: CloserParts) {}
+
+  /** Starts to close windows whenever this gateway holds the lease. */
+  start (): void {
+    this.timer = this.parts.env.timers.every(LOOK_MS, () => {
+      if (this.busy) return
+      this.busy = true
+      this.look().catch((err: unknown) => this.parts.log.error({ err }, 'usage_close_failed')).finally(() => { this.busy = false })
+    })
+  }
+
+  [Symbol.dispose] (): void {
+    this.timer?.[Symbol.dispose]()
+  }
+
+  private async look (): Promise<void> {
+    if (this.parts.lease.stamp() === undefined) {
+      this.stored = undefined
+      this.lastClosed = undefined
+      return
+    }
+    this.stored ??= await this.read()
+    if (this.stored === undefined) return
+    const due = Math.floor((this.parts.env.clock.wall() - CLOSE_DELAY_MS) / this.parts.windowMs) - 1
+    if (this.lastClosed === undefined || this.lastClosed < due) await this.close(due)
+    await this.report(due)
+  }
+
+  private async read (): Promise<StoredFinals | undefined> {
+    const found = await this.parts.store.get(FINALS_KEY)
+    if (found.err) return undefined
+    if (found.val === undefined) return { finals: {}, version: 'absent' }
+    return { finals: Finals.parse(JSON.parse(found.val.value)), version: found.val.version }
+  }
+
+  private async close (due: number): Promise<void> {
+    const listed = await this.parts.store.list(usageLedger.COUNTS_PREFIX)
+    if (listed.err || this.stored === undefined) return
+    const totals = new Map<number, Record<string, number>>()
+    for (const object of listed.val) this.add(object, due, totals)
+    const finals: Finals = {}
+    for (const [window, final] of Object.entries(this.stored.finals)) {
+      if (Number(window) > due - GIVE_UP_WINDOWS) finals[window] = final
+    }
+    for (const [window, counts] of totals) {
+      if (window <= due && window > due - GIVE_UP_WINDOWS) finals[window] ??= { counts, reported: false }
+    }
+    if (await this.write(finals)) this.lastClosed = due
+  }
+
+  private add (object: external.StoredObject, due: number, totals: Map<number, Record<string, number>>): void {
+    const parsed = Windows.safeParse(JSON.parse(object.value))
+    if (!parsed.success) return
+    const windows = Object.entries(parsed.data)
+    for (const [window, counts] of windows) {
+      const total = totals.get(Number(window)) ?? {}
+      totals.set(Number(window), total)
+      for (const [account, count] of Object.entries(counts)) total[account] = (total[account] ?? 0) + count
+    }
+    const newest = Math.max(...windows.map(([window]) => Number(window)))
+    if (newest < due - DELETE_WINDOWS) this.forget(object)
+  }
+
+  private forget (object: external.StoredObject): void {
+    this.parts.store.delete(object.key, object.version).then(
+      (done) => { if (done.err) this.parts.log.warn({ key: object.key, reason: done.val.message }, 'usage_delete_failed') },
+      (err: unknown) => this.parts.log.error({ err }, 'usage_delete_failed')
+    )
+  }
+
+  private async write (finals: Finals): Promise<boolean> {
+    const stored = this.stored
+    if (stored === undefined) return false
+    if (JSON.stringify(finals) === JSON.stringify(stored.finals)) return true
+    const put = await this.parts.store.put(FINALS_KEY, JSON.stringify(finals), stored.version)
+    if (put.ok) this.stored = { finals, version: put.val.version }
+    else this.stored = undefined
+    return put.ok
+  }
+
+  private async report (due: number): Promise<void> {
+    const stored = this.stored
+    if (stored === undefined) return
+    for (const [window, final] of Object.entries(stored.finals)) {
+      if (final.reported || Number(window) > due) continue
+      const stamp = this.parts.lease.stamp()
+      if (stamp === undefined) return
+      const sent = await this.parts.calls.reportUsage(stamp, Number(window), final.counts)
+      this.parts.log.info({ window: Number(window), token: stamp.token, outcome: sent.ok ? 'accepted' : sent.val.message }, 'usage_reported')
+      if (sent.err) return
+      // Stored with the next window; until then a successor sends the same counts again.
+      final.reported = true
+    }
+  }
+}
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -1,7 +1,7 @@
 /** One attempt of a model call at one engine, with prefill on another engine when serving is split. */
 import { Err, type Result } from '../errors/index.js'
 import type { AttemptOutcome, RouteChoice, RouteNeed } from '../routing/index.js'
-import type { GenerateEnd, GenerateReq, PieceSink, TargetError } from '../target/index.js'
+import type { GenerateEnd, GenerateReq, PieceSink, TargetError } from '../target-clients/index.js'
 import type { EntryParts } from './types.js'
 
 /** Sends a request to the engine of a choice; routing is told of the start and the end. */
--- a/src/entry/plain-send.ts
+++ b/src/entry/plain-send.ts
@@ -1,7 +1,7 @@
 /** Sends a call to a plain service; one that may be repeated is sent over a connection that is kept open. */
 import type { Result } from '../errors/index.js'
 import type { RouteChoice, RouteNeed } from '../routing/index.js'
-import { SILENT_MS, type PlainRes, type TargetError } from '../target/index.js'
+import { SILENT_MS, type PlainRes, type TargetError } from '../target-clients/index.js'
 import { withDeadline } from '../time/index.js'
 import { outcomeOf } from './attempt.js'
 import { budgetOf } from './budgets.js'
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -5,7 +5,7 @@
 import type { Logger } from '../log/index.js'
 import type { Metrics } from '../metrics/index.js'
 import type { Router } from '../routing/index.js'
-import type { TargetClients } from '../target/index.js'
+import type { TargetClients } from '../target-clients/index.js'
 import type { Env } from '../time/index.js'
 import type { UsageCounters } from '../usage/index.js'
 
--- a/src/errors/refusal.ts
+++ b/src/errors/refusal.ts
@@ -47,6 +47,7 @@
 const STATUS_BY_REASON: Partial<Record<RefusalReason, number>> = {
   malformed_request: 400,
   request_too_large: 413,
+  headers_too_large: 431,
   request_too_slow: 408,
   unknown_route: 404,
   unknown_model: 404,
--- /dev/null
+++ b/src/forward/attempt.ts
@@ -0,0 +1,207 @@
+/** One send of a call to one target. */
+import type * as calls from '../call/index.js'
+import type * as fleet from '../fleet/index.js'
+import type * as time from '../time/index.js'
+import type * as upstream from '../upstream/index.js'
+import * as eventSplitter from './event-splitter.js'
+
+/** Largest answer that is held until it is whole, in bytes. */
+const MAX_WHOLE_BYTES = 16 * 1024 * 1024
+
+/** How an attempt ended. `failed` leaves open if the call ran. */
+export type AttemptEnd =
+  | { readonly kind: 'answered', readonly head: calls.AnswerHead, readonly body: Uint8Array }
+  | { readonly kind: 'streamed' }
+  | { readonly kind: 'not_run', readonly written: boolean, readonly message: string }
+  | { readonly kind: 'failed', readonly message: string, readonly silent: boolean }
+  | { readonly kind: 'stopped' }
+
+/** What the caller has got of a stream, over all attempts. */
+export interface StreamProgress {
+  /** Id of the last whole event that was passed on. */
+  lastId?: string | undefined
+}
+
+/** What an attempt needs from its surroundings. */
+export interface AttemptParts {
+  readonly env: time.Env
+  readonly upstream: upstream.Upstream
+  readonly protocol: calls.TargetProtocol
+  /** Called when the call has begun to run: with its first event, or with its answer. */
+  readonly began: (call: calls.Call) => void
+}
+
+/** What one attempt is to do. */
+export interface AttemptSpec {
+  readonly call: calls.Call
+  readonly plan: calls.SendPlan
+  readonly state: fleet.TargetState
+  /** Where events go as they arrive; absent when the answer is wanted whole. */
+  readonly stream?: { readonly reply: calls.Reply, readonly progress: StreamProgress } | undefined
+  /** Prompt tokens that the target is expected to read. */
+  readonly unread: number
+  /** Time without a byte after which the attempt is given up, in ms: from this target at all, and for this call. */
+  readonly targetSilenceMs: number
+  readonly callSilenceMs: number
+}
+
+/** Sends a call and follows its answer to the end. */
+export class Attempt implements upstream.Receiver {
+  private readonly sentAt: number
+  private sending: upstream.Sending | undefined
+  private head_: calls.AnswerHead | undefined
+  private streaming = false
+  private readonly chunks: Uint8Array[] = []
+  private bytes = 0
+  private heardAt: number
+  private unread: number
+  private watch: Disposable | undefined
+  private finish: ((end: AttemptEnd) => void) | undefined
+  private readonly splitter = new eventSplitter.EventSplitter()
+
+  constructor (private readonly parts: AttemptParts, private readonly spec: AttemptSpec) {
+    this.sentAt = parts.env.clock.now()
+    this.heardAt = this.sentAt
+    this.unread = spec.unread
+  }
+
+  /** Runs the attempt. */
+  async run (): Promise<AttemptEnd> {
+    const { call, plan, state } = this.spec
+    state.running++
+    state.unreadTokens += this.unread
+    try {
+      return await new Promise<AttemptEnd>((resolve) => {
+        this.finish = resolve
+        this.watchSilence()
+        const headers = this.parts.protocol.encodeHeaders(call, plan)
+        const once = call.route.repeat === 'once'
+        this.sending = this.parts.upstream.send({ address: state.record.address, method: call.method, path: call.path, headers, body: call.body, once }, this)
+        if (this.finish === undefined) this.sending.abort()
+      })
+    } finally {
+      this.watch?.[Symbol.dispose]()
+      this.readDone()
+      state.running--
+    }
+  }
+
+  /** Gives the attempt up and closes its connection, so that the target stops work. */
+  stop (): void {
+    this.close({ kind: 'stopped' })
+  }
+
+  /** Whether the request may have reached the target. */
+  get written (): boolean {
+    return this.sending?.written ?? false
+  }
+
+  head (status: number, headers: upstream.AnswerHeaders): void {
+    this.heard()
+    const { call, state, stream } = this.spec
+    const head = this.parts.protocol.decodeHead(status, headers)
+    this.head_ = head
+    if (head.load !== undefined) state.stated(head.load, this.heardAt)
+    if (head.wrongTarget) this.close({ kind: 'not_run', written: true, message: 'wrong_target' })
+    else if (head.id !== call.id && !(head.id === undefined && status >= 400)) this.close({ kind: 'failed', message: 'answer to another request', silent: false })
+    else if (head.encoded) this.close({ kind: 'failed', message: 'encoded answer', silent: false })
+    else this.streaming = stream !== undefined && status === 200
+  }
+
+  data (chunk: Uint8Array): void {
+    this.heard()
+    if (this.finish === undefined) return
+    if (this.streaming) this.relay(chunk)
+    else this.collect(chunk)
+  }
+
+  end (): void {
+    this.heard()
+    if (this.streaming) this.endStream()
+    else this.endWhole()
+  }
+
+  fail (err: upstream.SendError): void {
+    if (err.written) this.settle({ kind: 'failed', message: err.message, silent: false })
+    else this.settle({ kind: 'not_run', written: false, message: err.message })
+  }
+
+  private relay (chunk: Uint8Array): void {
+    const { reply, progress } = this.spec.stream!
+    const batch = this.splitter.push(chunk, progress.lastId)
+    if (this.splitter.unfinished > eventSplitter.MAX_EVENT_BYTES) this.close({ kind: 'failed', message: 'event too long', silent: false })
+    if (batch === undefined) return
+    this.firstEvent()
+    if (!reply.started) reply.start(this.head_!)
+    progress.lastId = batch.lastId ?? progress.lastId
+    if (reply.write(batch.bytes)) return
+    this.sending?.pause()
+    reply.onDrain(() => this.sending?.resume())
+  }
+
+  private collect (chunk: Uint8Array): void {
+    this.chunks.push(chunk)
+    this.bytes += chunk.length
+    if (this.bytes > MAX_WHOLE_BYTES) this.close({ kind: 'failed', message: 'answer too long', silent: false })
+  }
+
+  private endStream (): void {
+    const { reply } = this.spec.stream!
+    if (this.splitter.unfinished > 0 || !reply.started) {
+      this.settle({ kind: 'failed', message: 'the stream ended before its last event', silent: false })
+      return
+    }
+    this.settle({ kind: 'streamed' })
+  }
+
+  private endWhole (): void {
+    const head = this.head_!
+    if (head.notRun) {
+      this.settle({ kind: 'not_run', written: true, message: `status ${head.status}` })
+      return
+    }
+    if (this.spec.plan.readOnly !== true) this.parts.began(this.spec.call)
+    this.settle({ kind: 'answered', head, body: this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks) })
+  }
+
+  private firstEvent (): void {
+    if (this.unread < 0) return
+    this.readDone()
+    this.parts.began(this.spec.call)
+  }
+
+  // The prompt has been read, or nobody waits for it.
+  private readDone (): void {
+    if (this.unread > 0) this.spec.state.unreadTokens = Math.max(0, this.spec.state.unreadTokens - this.unread)
+    this.unread = -1
+  }
+
+  private heard (): void {
+    this.heardAt = this.parts.env.clock.now()
+    this.spec.state.heardAt = this.heardAt
+  }
+
+  private watchSilence (): void {
+    const { targetSilenceMs, callSilenceMs, state } = this.spec
+    if (!Number.isFinite(targetSilenceMs)) return
+    const now = this.parts.env.clock.now()
+    const targetDueAt = Math.max(this.heardAt, state.heardAt) + targetSilenceMs
+    const dueAt = Math.min(targetDueAt, this.heardAt + callSilenceMs)
+    if (now < dueAt) {
+      this.watch = this.parts.env.timers.after(dueAt - now + 1, () => this.watchSilence())
+      return
+    }
+    this.close({ kind: 'failed', message: now >= targetDueAt ? 'target silent' : 'call silent', silent: now >= targetDueAt })
+  }
+
+  private close (end: AttemptEnd): void {
+    this.sending?.abort()
+    this.settle(end)
+  }
+
+  private settle (end: AttemptEnd): void {
+    const finish = this.finish
+    this.finish = undefined
+    finish?.(end)
+  }
+}
--- /dev/null
+++ b/src/forward/forwarder.ts
@@ -0,0 +1,262 @@
+/** Forwards calls: chooses targets, repeats what may be repeated, and delivers one answer. */
+import type * as calls from '../call/index.js'
+import * as errors from '../errors/index.js'
+import type * as fleet from '../fleet/index.js'
+import type * as log from '../log/index.js'
+import type * as metrics from '../metrics/index.js'
+import type * as placement from '../placement/index.js'
+import type * as retry from '../retry/index.js'
+import * as attempt from './attempt.js'
+import * as patience from './patience.js'
+
+/** Least time in which a target can answer, in ms; with less left nothing is sent. */
+const MIN_SEND_MS = 15
+
+/** Shortest and longest time after which a caller is told to come back, in ms. */
+const RETRY_AFTER_MIN_MS = 150
+const RETRY_AFTER_MAX_MS = 500
+
+/** What a forwarder needs from its surroundings. */
+export interface ForwarderParts extends attempt.AttemptParts {
+  readonly placerFor: (call: calls.Call) => placement.Placer
+  readonly budgetFor: (service: string) => retry.SharedBudget
+  readonly fleet: fleet.Fleet
+  readonly log: log.Logger
+  readonly metrics: metrics.Metrics
+  /** Closes kept connections to an address. */
+  readonly dropConnections: (address: string) => void
+}
+
+/** Forwards each call to the end of its answer. */
+export class Forwarder {
+  constructor (private readonly parts: ForwarderParts) {}
+
+  /** Delivers an answer, or returns why there is none; `signal` is aborted when the caller has left. */
+  async forward (call: calls.Call, reply: calls.Reply, signal: AbortSignal): Promise<errors.Refusal | undefined> {
+    return await new Forwarding(this.parts, call, reply, signal).run()
+  }
+}
+
+/** One call. */
+class Forwarding {
+  private readonly tried = new Set<string>()
+  private readonly progress: attempt.StreamProgress
+  private readonly budget: retry.SharedBudget
+  /** Arrivals at targets that count against the budget and the route's limit. */
+  private arrivals = 0
+  private mayHaveRun = false
+  private current: attempt.Attempt | undefined
+  private ended: 'deadline' | 'caller_left' | undefined
+  private lastAnswer: { head: calls.AnswerHead, body: Uint8Array } | undefined
+  private lastMessage = ''
+  private readAccepted = false
+
+  constructor (private readonly parts: ForwarderParts, private readonly call: calls.Call, private readonly reply: calls.Reply, private readonly signal: AbortSignal) {
+    this.progress = { lastId: call.resumeAfter }
+    this.budget = parts.budgetFor(call.service.name)
+  }
+
+  async run (): Promise<errors.Refusal | undefined> {
+    this.budget.request()
+    const onLeave = (): void => this.endEarly('caller_left')
+    this.signal.addEventListener('abort', onLeave, { once: true })
+    if (this.signal.aborted) onLeave()
+    const timer = this.parts.env.timers.after(Math.max(0, this.call.deadlineAt - this.now()), () => this.endEarly('deadline'))
+    try {
+      return await this.loop()
+    } finally {
+      timer[Symbol.dispose]()
+      this.signal.removeEventListener('abort', onLeave)
+    }
+  }
+
+  private async loop (): Promise<errors.Refusal | undefined> {
+    for (;;) {
+      const stop = this.reasonToStop()
+      if (stop !== undefined) return stop
+      const placed = this.place()
+      if (placed === undefined) return this.giveUp('no_target')
+      if (!this.mayArrive()) return this.giveUp('retry_budget_exhausted')
+      const done = await this.attemptAt(placed)
+      if (done) return undefined
+    }
+  }
+
+  private reasonToStop (): errors.Refusal | undefined {
+    if (this.ended === 'deadline') return this.giveUp('deadline_exceeded')
+    if (this.ended === 'caller_left') return this.giveUp('caller_disconnected')
+    if (this.call.deadlineAt - this.now() < MIN_SEND_MS) return this.giveUp('deadline_unreachable')
+    const forbidden = this.call.forbidden()
+    if (forbidden === undefined) return undefined
+    if (this.reply.started || this.mayHaveRun || this.lastAnswer !== undefined) return this.giveUp(forbidden.reason)
+    return forbidden
+  }
+
+  private place (): placement.Placement | undefined {
+    const placer = this.parts.placerFor(this.call)
+    const placed = placer.place(this.call, this.tried)
+    if (placed !== undefined || this.tried.size === 0 || !this.mayRepeat) return placed
+    // With no other target left, one that failed before may serve the call now.
+    return placer.place(this.call, new Set())
+  }
+
+  private get mayRepeat (): boolean {
+    return this.call.route.repeat !== 'once' || !this.mayHaveRun
+  }
+
+  private mayArrive (): boolean {
+    if (this.arrivals === 0) return true
+    if (this.arrivals >= this.call.route.maxTargets) return false
+    if (!this.budget.tryRepeat()) return false
+    this.parts.metrics.count('godwitpoint_repeats_total', `service="${this.call.service.name}"`)
+    return true
+  }
+
+  /** Whether the answer was delivered. */
+  private async attemptAt (placed: placement.Placement): Promise<boolean> {
+    const { reader } = placed
+    if (reader === undefined || this.progress.lastId !== undefined) return await this.runAt(placed.target, placed.expectedMs, undefined)
+    const handle = await this.readAt(reader, placed.expectedMs)
+    if (handle === undefined) return false
+    const handOver = { address: reader.record.address, handle }
+    const target = placed.target.accepts(this.now()) ? placed.target : undefined
+    if (target === undefined || this.reasonToStop() !== undefined) {
+      this.release(handOver)
+      return false
+    }
+    return await this.runAt(target, placed.expectedMs, handOver, reader)
+  }
+
+  private async readAt (reader: fleet.TargetState, expectedMs: number): Promise<string | undefined> {
+    const end = await this.send(reader, expectedMs, { readOnly: true })
+    const handle = end.kind === 'answered' && end.head.status === 200 ? this.parts.protocol.decodeHandle(end.body) : undefined
+    const accepted = handle !== undefined && !this.readAccepted
+    if (accepted) this.readAccepted = true
+    else if (end.kind !== 'not_run' || end.written) this.arrivals++
+    if (handle !== undefined) {
+      this.noteRead(reader)
+      return handle
+    }
+    this.tried.add(reader.record.id)
+    this.noteFailure(end, reader, 'read')
+    return undefined
+  }
+
+  private async runAt (target: fleet.TargetState, expectedMs: number, handOver: calls.HandOver | undefined, reader?: fleet.TargetState): Promise<boolean> {
+    const end = await this.send(target, expectedMs, { handOver })
+    if (end.kind === 'not_run') {
+      if (end.written) this.arrivals++
+      if (reader !== undefined && end.written) reader.handOverFailedAt = this.now()
+      if (handOver !== undefined && !end.written) this.release(handOver)
+      this.tried.add(target.record.id)
+      this.noteFailure(end, target, 'run')
+      return false
+    }
+    this.arrivals++
+    if (end.kind === 'streamed') {
+      this.noteRead(target)
+      this.reply.end()
+      return true
+    }
+    this.mayHaveRun = true
+    if (end.kind === 'answered') return this.answered(end, target)
+    this.tried.add(target.record.id)
+    this.noteFailure(end, target, 'run')
+    if (!this.mayRepeat && this.ended === undefined) this.arrivals = Infinity
+    return false
+  }
+
+  private answered (end: Extract<attempt.AttemptEnd, { kind: 'answered' }>, target: fleet.TargetState): boolean {
+    this.lastAnswer = { head: end.head, body: end.body }
+    const failed = end.head.status >= 500
+    if (failed && this.call.route.repeat !== 'once' && this.arrivals < this.call.route.maxTargets && this.budget.left >= 1) {
+      this.tried.add(target.record.id)
+      this.lastMessage = `status ${end.head.status}`
+      this.parts.log.info({ id: this.call.id, target: target.record.id, status: end.head.status }, 'call_repeated')
+      return false
+    }
+    this.deliver(this.lastAnswer)
+    return true
+  }
+
+  private async send (state: fleet.TargetState, expectedMs: number, extra: { readOnly?: boolean, handOver?: calls.HandOver | undefined }): Promise<attempt.AttemptEnd> {
+    const { call } = this
+    const sentAt = this.now()
+    const plan: calls.SendPlan = { target: state.record, leftMs: call.deadlineAt - sentAt, resumeAfter: this.progress.lastId, ...extra }
+    const stream = call.route.streams && extra.readOnly !== true ? { reply: this.reply, progress: this.progress } : undefined
+    const unread = extra.handOver === undefined && call.prompt !== undefined ? Math.max(0, call.prompt.promptTokens - state.cache.kept(call.prompt)) : 0
+    const one = new attempt.Attempt(this.parts, { call, plan, state, stream, unread, ...patience.patienceOf(call, expectedMs, extra.readOnly === true) })
+    this.current = one
+    if (this.ended !== undefined) one.stop()
+    const end = await one.run()
+    this.current = undefined
+    this.record(end, state, sentAt, extra)
+    return end
+  }
+
+  private record (end: attempt.AttemptEnd, state: fleet.TargetState, sentAt: number, extra: { handOver?: calls.HandOver | undefined }): void {
+    const now = this.now()
+    if (end.kind === 'streamed' || (end.kind === 'answered' && end.head.status < 500)) state.failures.record('ok', sentAt, now)
+    else if (end.kind === 'answered') state.failures.record('error', sentAt, now)
+    else if (end.kind === 'failed') state.failures.record(end.silent ? 'silent' : 'broken', sentAt, now)
+    else if (end.kind === 'not_run' && extra.handOver === undefined) state.failures.record(end.written ? 'refused' : 'unreachable', sentAt, now)
+    if (end.kind === 'not_run' && end.message === 'wrong_target') this.parts.fleet.misdirected(state)
+    if ((end.kind === 'failed' && end.silent) || (end.kind === 'not_run' && !end.written)) this.parts.dropConnections(state.record.address)
+  }
+
+  private noteRead (state: fleet.TargetState): void {
+    if (this.call.prompt !== undefined) state.cache.read(this.call.prompt, this.call.service.engine?.memoryTokens ?? Infinity)
+  }
+
+  private noteFailure (end: attempt.AttemptEnd, state: fleet.TargetState, phase: 'read' | 'run'): void {
+    const message = end.kind === 'answered' ? `status ${end.head.status}` : end.kind === 'streamed' ? '' : end.kind === 'stopped' ? this.ended ?? 'stopped' : end.message
+    this.lastMessage = message
+    this.parts.metrics.count('godwitpoint_attempt_failures_total', `kind="${end.kind}",phase="${phase}"`)
+    this.parts.log.info({ id: this.call.id, target: state.record.id, phase, kind: end.kind, reason: message, resumed_after: this.progress.lastId }, 'attempt_failed')
+  }
+
+  private release (handOver: calls.HandOver): void {
+    const { method, path } = this.parts.protocol.encodeRelease(handOver.handle)
+    const ignore = (): void => { /* an unreleased handle expires by itself */ }
+    this.parts.upstream.send({ address: handOver.address, method, path, headers: ['host', handOver.address], body: new Uint8Array(0), once: false }, { head: ignore, data: ignore, end: ignore, fail: ignore })
+  }
+
+  private endEarly (reason: 'deadline' | 'caller_left'): void {
+    this.ended ??= reason
+    this.current?.stop()
+  }
+
+  private deliver (answer: { head: calls.AnswerHead, body: Uint8Array }): void {
+    if (isPromise(answer.head.status)) this.reply.whole({ ...answer.head, status: 502, headers: [] }, new Uint8Array(0))
+    else this.reply.whole(answer.head, answer.body)
+  }
+
+  /** Ends the call without an answer of its own: with a failed one, a broken stream, or a refusal. */
+  private giveUp (reason: errors.RefusalReason): errors.Refusal | undefined {
+    if (this.reply.started) {
+      this.reply.cut()
+      return undefined
+    }
+    if (this.lastAnswer !== undefined) {
+      this.deliver(this.lastAnswer)
+      return undefined
+    }
+    const ran = this.mayHaveRun ? 'maybe' : 'no'
+    const spread = RETRY_AFTER_MAX_MS - RETRY_AFTER_MIN_MS
+    return new errors.Refusal(reason, {
+      step: 'route',
+      ran,
+      ...(this.lastMessage === '' ? {} : { message: this.lastMessage }),
+      ...(ran === 'no' ? { retryAfterMs: RETRY_AFTER_MIN_MS + spread * this.parts.env.random.next() } : {})
+    })
+  }
+
+  private now (): number {
+    return this.parts.env.clock.now()
+  }
+}
+
+// These statuses say that a call has not run, which a target's answer without a statement of its own does not.
+function isPromise (status: number): boolean {
+  return status === 408 || status === 421 || status === 429 || status === 503
+}
--- /dev/null
+++ b/src/gateway/http-front.ts
@@ -0,0 +1,183 @@
+/** The HTTP listener for callers. */
+import * as http from 'node:http'
+import * as errors from '../errors/index.js'
+import type * as log from '../log/index.js'
+import type * as metrics from '../metrics/index.js'
+import type * as serving from '../serving/index.js'
+import type * as time from '../time/index.js'
+import * as httpReply from './http-reply.js'
+import type * as types from './types.js'
+
+/** Bounds before a configuration is known. */
+const DEFAULT_LIMITS: serving.CallerLimits = { headerBytes: 16_384, bodyBytes: 1_048_576, headerMs: 5_000, idleMs: 15_000 }
+
+/** Largest header block that the parser takes, in bytes; the configured bound is checked after it. */
+const PARSER_HEADER_BYTES = 65_536
+
+/** Time between two looks for slow callers, in ms. */
+const CHECK_MS = 500
+
+/** Callers' connections waiting to be accepted. */
+const BACKLOG = 1_024
+
+/** Status of a refusal when the call may have run: such an answer promises nothing. */
+const MAYBE_RAN_STATUS = 502
+const TIMEOUT_STATUS = 504
+
+/** What a front needs from its surroundings. */
+export interface FrontParts {
+  readonly env: time.Env
+  readonly protocol: types.CallerProtocol
+  readonly handler: types.CallHandler
+  readonly limits: () => serving.CallerLimits | undefined
+  readonly log: log.Logger
+  readonly metrics: metrics.Metrics
+}
+
+/** Reads requests within the limits of the configuration and answers them. */
+export class HttpFront implements AsyncDisposable {
+  private readonly server: http.Server
+  private closing = false
+  private active = 0
+
+  constructor (private readonly parts: FrontParts) {
+    this.server = http.createServer({
+      maxHeaderSize: PARSER_HEADER_BYTES,
+      connectionsCheckingInterval: CHECK_MS,
+      requestTimeout: 0,
+      noDelay: true
+    }, (req, res) => { this.serve(req, res).catch((err: unknown) => this.fault(res, err)) })
+    this.applyLimits(DEFAULT_LIMITS)
+    this.server.on('clientError', (err, socket) => {
+      this.parts.metrics.count('godwitpoint_client_errors_total')
+      if (socket.writable && (err as NodeJS.ErrnoException).code !== 'ECONNRESET') socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
+      else socket.destroy()
+    })
+  }
+
+  /** Requests under way. */
+  get busy (): number {
+    return this.active
+  }
+
+  /** Takes the limits of a new configuration. */
+  applyLimits (limits: serving.CallerLimits): void {
+    this.server.headersTimeout = limits.headerMs
+    this.server.keepAliveTimeout = limits.idleMs
+  }
+
+  /** Starts to listen. */
+  async listen (host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen({ host, port, backlog: BACKLOG }, resolve)
+    })
+  }
+
+  /** From now on each answer closes its connection. */
+  beginClose (): void {
+    this.closing = true
+  }
+
+  /** Accepts no more connections and closes those that carry no request. */
+  stopListening (): void {
+    this.server.close()
+    this.server.closeIdleConnections()
+  }
+
+  async [Symbol.asyncDispose] (): Promise<void> {
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+
+  private async serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    const left = new AbortController()
+    res.on('close', () => { if (!res.writableFinished) left.abort() })
+    this.active++
+    try {
+      const body = await this.readBody(req, res)
+      if (body instanceof errors.Refusal) this.refuse(req, res, body)
+      else if (body !== undefined) await this.answer(req, res, body, left.signal)
+    } finally {
+      this.active--
+    }
+  }
+
+  private async answer (req: http.IncomingMessage, res: http.ServerResponse, body: Uint8Array, signal: AbortSignal): Promise<void> {
+    const reply = new httpReply.HttpReply(res, () => this.closing)
+    const refusal = await this.parts.handler.handle(this.parts.protocol.decode(req), body, reply, signal)
+    if (refusal !== undefined) this.refuse(req, res, refusal)
+  }
+
+  /** The body; a refusal when it is too long or too slow; undefined when the caller left. */
+  private async readBody (req: http.IncomingMessage, res: http.ServerResponse): Promise<Uint8Array | errors.Refusal | undefined> {
+    const limits = this.parts.limits() ?? DEFAULT_LIMITS
+    if (headerBytes(req) > limits.headerBytes) return new errors.Refusal('headers_too_large', { step: 'parse', ran: 'no' })
+    if (Number(req.headers['content-length'] ?? 0) > limits.bodyBytes) return tooLarge()
+    if (req.headers['content-length'] === undefined && req.headers['transfer-encoding'] === undefined) {
+      req.resume()
+      return new Uint8Array(0)
+    }
+    return await new Promise((resolve) => {
+      const chunks: Buffer[] = []
+      let bytes = 0
+      const expire = (): Disposable => this.parts.env.timers.after(limits.idleMs, () => resolve(new errors.Refusal('request_too_slow', { step: 'parse', ran: 'no' })))
+      let timer = expire()
+      const settle = (outcome: Uint8Array | errors.Refusal | undefined): void => {
+        timer[Symbol.dispose]()
+        resolve(outcome)
+      }
+      req.on('data', (chunk: Buffer) => {
+        timer[Symbol.dispose]()
+        bytes += chunk.length
+        if (bytes > limits.bodyBytes) settle(tooLarge())
+        else {
+          chunks.push(chunk)
+          timer = expire()
+        }
+      })
+      req.on('end', () => settle(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)))
+      req.on('error', () => settle(undefined))
+      res.on('close', () => settle(undefined))
+    })
+  }
+
+  private refuse (req: http.IncomingMessage, res: http.ServerResponse, refusal: errors.Refusal): void {
+    const { ran, step, retryAfterMs } = refusal.detail
+    const status = statusOf(refusal)
+    this.parts.metrics.refused(refusal.reason, step)
+    this.parts.log.info({ id: req.headers['request-id'], status, reason: refusal.reason, ran, detail: refusal.message, retry_after_ms: retryAfterMs === undefined ? undefined : Math.round(retryAfterMs) }, 'call_refused')
+    if (res.headersSent || res.destroyed) {
+      res.destroy()
+      return
+    }
+    const unread = !req.complete
+    const headers = ['content-length', '0', ...(retryAfterMs === undefined ? [] : this.parts.protocol.retryHeaders(retryAfterMs))]
+    res.writeHead(status, this.closing || unread ? [...headers, 'connection', 'close'] : headers)
+    res.end()
+  }
+
+  private fault (res: http.ServerResponse, err: unknown): void {
+    this.parts.log.error({ err }, 'request_failed')
+    this.parts.metrics.refused('internal_error', 'settle')
+    if (!res.headersSent && !res.destroyed) {
+      res.writeHead(MAYBE_RAN_STATUS, ['content-length', '0'])
+      res.end()
+    } else res.destroy()
+  }
+}
+
+function statusOf (refusal: errors.Refusal): number {
+  if (refusal.detail.ran === 'no') return refusal.reason === 'deadline_exceeded' ? 503 : refusal.status
+  return refusal.reason === 'deadline_exceeded' ? TIMEOUT_STATUS : MAYBE_RAN_STATUS
+}
+
+function tooLarge (): errors.Refusal {
+  return new errors.Refusal('request_too_large', { step: 'parse', ran: 'no' })
+}
+
+function headerBytes (req: http.IncomingMessage): number {
+  let bytes = (req.url?.length ?? 0) + (req.method?.length ?? 0)
+  for (const text of req.rawHeaders) bytes += text.length + 2
+  return bytes
+}
--- /dev/null
+++ b/src/gateway/http-reply.ts
@@ -0,0 +1,43 @@
+/** Answers of a gateway over Node's HTTP server. */
+import type * as http from 'node:http'
+import type * as calls from '../call/index.js'
+
+/** A reply on a server response. */
+export class HttpReply implements calls.Reply {
+  constructor (private readonly res: http.ServerResponse, private readonly closing: () => boolean) {}
+
+  get started (): boolean {
+    return this.res.headersSent
+  }
+
+  whole (head: calls.AnswerHead, body: Uint8Array): void {
+    this.writeHead(head.status, [...head.headers, 'content-length', String(body.length)])
+    this.res.end(body)
+  }
+
+  start (head: calls.AnswerHead): void {
+    this.res.socket?.setNoDelay(true)
+    this.writeHead(head.status, head.headers)
+  }
+
+  write (chunk: Uint8Array): boolean {
+    return this.res.write(chunk)
+  }
+
+  end (): void {
+    this.res.end()
+  }
+
+  cut (): void {
+    this.res.destroy()
+  }
+
+  onDrain (fn: () => void): void {
+    this.res.once('drain', fn)
+  }
+
+  private writeHead (status: number, headers: readonly string[]): void {
+    if (this.res.destroyed) return
+    this.res.writeHead(status, this.closing() ? [...headers, 'connection', 'close'] : [...headers])
+  }
+}
--- /dev/null
+++ b/src/gateway/node.ts
@@ -0,0 +1,189 @@
+/** A gateway process: composes the parts and stops them in order. */
+import * as directory from '../directory/index.js'
+import * as duties from '../duties/index.js'
+import type * as external from '../external/index.js'
+import * as fleet from '../fleet/index.js'
+import * as forward from '../forward/index.js'
+import type * as calls from '../call/index.js'
+import type * as log from '../log/index.js'
+import type * as metrics from '../metrics/index.js'
+import * as peer from '../peer/index.js'
+import * as placement from '../placement/index.js'
+import * as retry from '../retry/index.js'
+import * as serving from '../serving/index.js'
+import * as time from '../time/index.js'
+import * as upstream from '../upstream/index.js'
+import * as gateway from './gateway.js'
+import * as httpFront from './http-front.js'
+import type * as types from './types.js'
+
+/** Time after the start of a stop for which new calls are taken: callers keep the addresses that they were told, in ms. */
+const TAKE_CALLS_MS = 3_200
+
+/** Time before the end of the grace period at which the last calls are ended, in ms. */
+const LAST_CALLS_MS = 1_200
+
+/** Time before the end of the grace period at which the process ends, in ms. */
+const EXIT_MARGIN_MS = 600
+
+/** Time between two looks whether the last call has ended, in ms. */
+const IDLE_LOOK_MS = 50
+
+/** Time allowed for giving back what others wait for, in ms. */
+const HAND_BACK_MS = 1_000
+
+/** Settings of a gateway process. */
+export interface NodeSettings {
+  readonly name: string
+  /** Changes with each start of a process. */
+  readonly incarnation: string
+  readonly domain: string
+  readonly frontHost: string
+  readonly frontPort: number
+  readonly peerHost: string
+  readonly peerPort: number
+  readonly bounds: gateway.GatewayBounds & {
+    readonly repeats: retry.RepeatLimits
+    /** Time that a stop may take, in ms. */
+    readonly graceMs: number
+    /** Time within which holders of duties must not take turns, in ms. */
+    readonly turnMs: number
+    readonly usageWindowMs: number
+  }
+}
+
+/** What the adapter supplies. */
+export interface NodeParts {
+  readonly settings: NodeSettings
+  readonly env: time.Env
+  readonly store: external.ObjectStore
+  readonly callerProtocol: types.CallerProtocol
+  readonly targetProtocol: calls.TargetProtocol
+  readonly dutyCalls: duties.DutyCalls
+  readonly config: Pick<serving.ConfigFeedParts, 'key' | 'decode'>
+  readonly targets: Pick<fleet.FleetFeedParts, 'prefix' | 'decode'>
+  readonly log: log.Logger
+  readonly metrics: metrics.Metrics
+}
+
+/** The parts of a running gateway. */
+export class GatewayNode {
+  private readonly elapsed: serving.ElapsedClock
+  private readonly feed: serving.ConfigFeed
+  private readonly fleet: fleet.Fleet
+  private readonly fleetFeed: fleet.FleetFeed
+  private readonly pool: upstream.ConnectionPool
+  private readonly peers: peer.TcpPeers
+  private readonly directory: directory.Directory
+  private readonly gateway: gateway.Gateway
+  private readonly front: httpFront.HttpFront
+  private readonly lease: duties.Lease
+  private readonly ledger: duties.UsageLedger
+  private readonly closer: duties.UsageCloser
+  private readonly budgets = new Map<string, retry.SharedBudget>()
+  private stopAt: number | undefined
+
+  constructor (private readonly parts: NodeParts) {
+    const { env, store, log, metrics, settings } = parts
+    this.elapsed = new serving.ElapsedClock(env.clock)
+    this.feed = new serving.ConfigFeed({ env, elapsed: this.elapsed, store, log, metrics, ...parts.config })
+    this.pool = new upstream.ConnectionPool({ env, metrics })
+    this.fleet = new fleet.Fleet({ clock: env.clock, log, onGone: (address) => this.pool.drop(address) })
+    this.fleetFeed = new fleet.FleetFeed({ env, store, fleet: this.fleet, log, ...parts.targets })
+    this.peers = new peer.TcpPeers(env.timers)
+    this.directory = new directory.Directory({ env, store, peers: this.peers, self: this.record(), ready: () => this.ready, log })
+    const turnMs = settings.bounds.turnMs
+    this.lease = new duties.Lease({ env, elapsed: this.elapsed, store, holder: settings.name, incarnation: settings.incarnation, turnMs, log })
+    const windowMs = settings.bounds.usageWindowMs
+    this.ledger = new duties.UsageLedger({ env, store, name: `${settings.name}.${settings.incarnation}`, windowMs, log })
+    this.closer = new duties.UsageCloser({ env, store, lease: this.lease, calls: parts.dutyCalls, windowMs, log })
+    this.gateway = this.createGateway()
+    const limits = (): serving.CallerLimits | undefined => this.feed.current()?.config.limits
+    this.front = new httpFront.HttpFront({ env, protocol: parts.callerProtocol, handler: this.gateway, limits, log, metrics })
+    this.feed.onChange((config) => this.front.applyLimits(config.limits))
+  }
+
+  /** Opens the sockets and starts the tasks. */
+  async start (): Promise<void> {
+    const { settings } = this.parts
+    this.feed.start()
+    this.fleetFeed.start()
+    await this.peers.listen(settings.peerHost, settings.peerPort)
+    await this.front.listen(settings.frontHost, settings.frontPort)
+    this.directory.start()
+    this.lease.start()
+    this.ledger.start()
+    this.closer.start()
+  }
+
+  /** Whether callers are served. */
+  get ready (): boolean {
+    return this.stopAt === undefined && this.gateway.current && this.fleetFeed.ready
+  }
+
+  /** Addresses that callers are told. */
+  addresses (): string[] {
+    return this.directory.addresses()
+  }
+
+  /** Stops: hands back duties, serves what comes until callers have other addresses, and ends the last calls. */
+  async stop (): Promise<void> {
+    const { env, settings } = this.parts
+    if (this.stopAt !== undefined) return
+    this.stopAt = env.clock.now()
+    const endAt = this.stopAt + settings.bounds.graceMs - EXIT_MARGIN_MS
+    this.front.beginClose()
+    this.closer[Symbol.dispose]()
+    await time.withDeadline(env.timers, HAND_BACK_MS, this.handBack(), () => undefined)
+    while (!this.refusing) await time.delay(env.timers, IDLE_LOOK_MS)
+    this.front.stopListening()
+    while (this.front.busy > 0 && env.clock.now() < endAt - HAND_BACK_MS) await time.delay(env.timers, IDLE_LOOK_MS)
+    await time.withDeadline(env.timers, HAND_BACK_MS, this.ledger[Symbol.asyncDispose](), () => undefined)
+    this.feed[Symbol.dispose]()
+    this.fleetFeed[Symbol.dispose]()
+    this.pool[Symbol.dispose]()
+  }
+
+  private async handBack (): Promise<void> {
+    await this.lease[Symbol.asyncDispose]()
+    await this.directory[Symbol.asyncDispose]()
+  }
+
+  private get refusing (): boolean {
+    return this.stopAt !== undefined && this.parts.env.clock.now() - this.stopAt > TAKE_CALLS_MS
+  }
+
+  private record (): directory.GatewayRecord {
+    const { name, incarnation, domain, frontHost, frontPort, peerHost, peerPort } = this.parts.settings
+    return { name, incarnation, domain, front: `${frontHost}:${frontPort}`, peer: `${peerHost}:${peerPort}` }
+  }
+
+  private createGateway (): gateway.Gateway {
+    const { env, settings, targetProtocol, log, metrics } = this.parts
+    const plain = new placement.PlainPlacer(this.fleet, env, settings.domain)
+    const engines = new placement.EnginePlacer(this.fleet, env, settings.domain)
+    const forwarder = new forward.Forwarder({
+      env,
+      upstream: this.pool,
+      protocol: targetProtocol,
+      began: (call) => { if (call.account !== undefined) this.ledger.count(call.account) },
+      placerFor: (call) => call.service.engine === undefined ? plain : engines,
+      budgetFor: (service) => this.budgetFor(service),
+      fleet: this.fleet,
+      log,
+      metrics,
+      dropConnections: (address) => this.pool.drop(address)
+    })
+    const endsAt = (): number | undefined => this.stopAt === undefined ? undefined : this.stopAt + settings.bounds.graceMs - LAST_CALLS_MS
+    return new gateway.Gateway({ env, feed: this.feed, forwarder, bounds: settings.bounds, endsAt, refusing: () => this.refusing })
+  }
+
+  private budgetFor (service: string): retry.SharedBudget {
+    let budget = this.budgets.get(service)
+    if (budget === undefined) {
+      budget = new retry.SharedBudget(this.parts.env.clock, this.parts.settings.bounds.repeats, () => this.directory.size)
+      this.budgets.set(service, budget)
+    }
+    return budget
+  }
+}
--- a/src/orders/engine-sender.ts
+++ b/src/orders/engine-sender.ts
@@ -1,7 +1,7 @@
 /** Sends orders to engines. */
 import { Err, Ok, StepError, type Result } from '../errors/index.js'
 import type { EngineOrder, EngineState, Intent } from '../schema/index.js'
-import type { Engine } from '../target/index.js'
+import type { Engine } from '../target-clients/index.js'
 import type { LoadSlots } from './load-slots.js'
 import { SendError, type IntentSender, type LateCopies } from './types.js'
 
--- a/src/orders/load-slots.ts
+++ b/src/orders/load-slots.ts
@@ -1,7 +1,7 @@
 /** Shares the weight store's rate limit between the scopes of a region. */
 import * as z from 'zod'
 import type { Metrics } from '../metrics/index.js'
-import type { ObjectStore } from '../platform/index.js'
+import type { ObjectStore } from '../external/index.js'
 import type { Clock } from '../time/index.js'
 
 /** Model loads that run at once in a region; more would exceed the weight store's rate limit. */
--- /dev/null
+++ b/src/placement/engine-placer.ts
@@ -0,0 +1,131 @@
+/**
+ * Placement of model calls. Answers the load of prompts whose shared parts are larger than what is their own: a part is
+ * read best where it is kept, so each part has the same home for all gateways, and spills when its home has a backlog.
+ */
+import type * as fleet from '../fleet/index.js'
+import type * as calls from '../call/index.js'
+import * as hash from '../hash/index.js'
+import type * as time from '../time/index.js'
+import type * as types from './types.js'
+
+/** Prompt tokens that an engine reads in a ms: one that only reads, and one that also generates. */
+const READ_RATE = 140
+const MIXED_READ_RATE = 70
+
+/** Time to the first event beside reading, in ms. */
+const FIRST_EVENT_MS = 30
+
+/** Time to fetch a cache from another engine, in ms. */
+const MOVE_MS = 12
+
+/** Extra time a call in flight adds to the first event of the next, in ms. */
+const RUNNING_MS = 0.4
+
+/** A token read that another target keeps counts this much more than the time it takes. */
+const REREAD_WEIGHT = 1.5
+
+/** Share of a part that its home is believed to keep though this gateway has not sent it there. */
+const HOME_TRUST = 0.6
+
+/** Cost of another failure domain, in ms. */
+const REMOTE_MS = 6
+
+/** Cost of a target whose calls all fail, in ms. */
+const FAILURE_MS = 1_500
+
+/** Targets looked at by rank for a part; of a larger fleet the others are not considered. */
+const CANDIDATES = 12
+
+/** Time for which an engine whose hand-over failed does not read for others, in ms. */
+const HAND_OVER_PAUSE_MS = 1_500
+
+interface Candidate extends types.Placement {
+  readonly cost: number
+}
+
+/** Places model calls by what targets keep, their backlog, recent failures and distance. */
+export class EnginePlacer implements types.Placer {
+  constructor (private readonly fleet: fleet.Fleet, private readonly env: time.Env, private readonly domain: string) {}
+
+  place (call: calls.Call, tried: ReadonlySet<string>): types.Placement | undefined {
+    const now = this.env.clock.now()
+    const states = this.fleet.ofService(call.service.name).filter((state) => !tried.has(state.record.id) && state.accepts(now))
+    const ranked = rank(homeKey(call), states)
+    const runner = this.leastLoaded(ranked, now)
+    if (runner === undefined) return undefined
+    let best: Candidate | undefined
+    for (const [index, state] of ranked.slice(0, CANDIDATES).entries()) {
+      const candidate = this.consider(call, state, index === 0, runner, now)
+      if (candidate !== undefined && candidate.cost < (best?.cost ?? Infinity)) best = candidate
+    }
+    return best
+  }
+
+  private consider (call: calls.Call, state: fleet.TargetState, home: boolean, runner: fleet.TargetState, now: number): Candidate | undefined {
+    const reads = state.record.stage === 'prefill'
+    if (reads && now - state.handOverFailedAt < HAND_OVER_PAUSE_MS) return undefined
+    const rate = reads ? READ_RATE : MIXED_READ_RATE
+    const unread = unreadTokens(call, state, home)
+    const waitMs = state.unreadTokens / rate
+    const readMs = unread / rate
+    const target = reads ? runner : state
+    const runMs = target.load(now) * RUNNING_MS + (reads ? MOVE_MS + target.unreadTokens / MIXED_READ_RATE * 0.2 : 0)
+    const distanceMs = (state.record.domain === this.domain ? 0 : REMOTE_MS) + (target.record.domain === state.record.domain ? 0 : 2 * REMOTE_MS)
+    const failureMs = FAILURE_MS * Math.max(state.failures.rate(now), target.failures.rate(now))
+    return {
+      target,
+      reader: reads ? state : undefined,
+      expectedMs: waitMs + readMs + runMs + FIRST_EVENT_MS,
+      cost: waitMs + readMs * REREAD_WEIGHT + runMs + distanceMs + failureMs
+    }
+  }
+
+  // The engine that generates for those that only read: the one with the fewest calls, near ones first.
+  private leastLoaded (states: readonly fleet.TargetState[], now: number): fleet.TargetState | undefined {
+    let best: fleet.TargetState | undefined
+    let lowest = Infinity
+    for (const state of states) {
+      if (state.record.stage === 'prefill') continue
+      const cost = state.load(now) * RUNNING_MS + state.unreadTokens / MIXED_READ_RATE * 0.2 + FAILURE_MS * state.failures.rate(now) +
+        (state.record.domain === this.domain ? 0 : REMOTE_MS) + this.env.random.next()
+      if (cost >= lowest) continue
+      lowest = cost
+      best = state
+    }
+    return best
+  }
+}
+
+function unreadTokens (call: calls.Call, state: fleet.TargetState, home: boolean): number {
+  const prompt = call.prompt
+  if (prompt === undefined) return 0
+  const kept = state.cache.kept(prompt)
+  if (!home || kept > 0) return Math.max(0, prompt.promptTokens - kept)
+  return Math.max(0, prompt.promptTokens - sharedTokens(prompt) * HOME_TRUST)
+}
+
+function sharedTokens (prompt: calls.Prompt): number {
+  let tokens = 0
+  for (const part of prompt.parts.slice(0, -1)) tokens += part.tokens
+  return tokens
+}
+
+/** The part whose home decides: the last one that other requests share. */
+function homeKey (call: calls.Call): string {
+  const parts = call.prompt?.parts ?? []
+  return parts[parts.length - 2]?.id ?? parts[0]?.id ?? call.id
+}
+
+// Weighted rendezvous hashing: an engine that only reads is home to twice as many parts as one that also generates.
+function rank (key: string, states: readonly fleet.TargetState[]): fleet.TargetState[] {
+  return states
+    .map((state) => ({ state, score: score(key, state) }))
+    .sort((a, b) => b.score - a.score)
+    .map((entry) => entry.state)
+}
+
+function score (key: string, state: fleet.TargetState): number {
+  const draw = (hash.hash32(`${key}\u0000${state.record.id}`) + 1) / 2 ** 32
+  const weight = state.record.stage === 'prefill' ? READ_RATE : MIXED_READ_RATE
+  return -weight / Math.log(Math.min(draw, 1 - 2 ** -33))
+}
--- a/src/retry/may-retry.ts
+++ b/src/retry/may-retry.ts
@@ -1,6 +1,6 @@
 /** Decides whether an attempt may be repeated. */
 import type { RetryReason } from '../errors/index.js'
-import type { TargetError } from '../target/index.js'
+import type { TargetError } from '../target-clients/index.js'
 
 /**
  * The reason for a retry, or `undefined` when the attempt must not be repeated. A call that may not be
--- a/src/routing/prefix-index.ts
+++ b/src/routing/prefix-index.ts
@@ -1,5 +1,5 @@
 /** Which targets hold which prompt prefixes, learned from own sends and from cache events. */
-import type { CacheBatch } from '../target/index.js'
+import type { CacheBatch } from '../target-clients/index.js'
 
 /** Pairs of prefix and target kept; the least recently used prefixes go first. */
 const MAX_ENTRIES = 64 * 1024
--- a/src/routing/split.ts
+++ b/src/routing/split.ts
@@ -1,5 +1,5 @@
 /** Decides whether prefill and decode of a request go to different engines. */
-import { PIECE_TOKENS } from '../target/index.js'
+import { PIECE_TOKENS } from '../target-clients/index.js'
 import type { Scored } from './two-choice-router.js'
 import type { RouteNeed } from './types.js'
 
--- a/src/routing/two-choice-router.ts
+++ b/src/routing/two-choice-router.ts
@@ -1,5 +1,5 @@
 /** Routing by power of two choices, with corrected load estimates and prefix affinity. */
-import { PIECE_TOKENS, type CacheBatch } from '../target/index.js'
+import { PIECE_TOKENS, type CacheBatch } from '../target-clients/index.js'
 import type { LoadReport, Role } from '../schema/index.js'
 import type { Env } from '../time/index.js'
 import { PrefixIndex } from './prefix-index.js'
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -1,5 +1,5 @@
 /** Messages of routing. */
-import type { CacheBatch } from '../target/index.js'
+import type { CacheBatch } from '../target-clients/index.js'
 import type { LoadReport, Role } from '../schema/index.js'
 
 /** A target as routing knows it. */
--- /dev/null
+++ b/src/serving/config-feed.ts
@@ -0,0 +1,125 @@
+/** Keeps the configuration current by reading it from the store. */
+import type * as external from '../external/index.js'
+import type * as log from '../log/index.js'
+import type * as time from '../time/index.js'
+import type * as metrics from '../metrics/index.js'
+import type * as serving from './types.js'
+import * as currency from './currency.js'
+import type * as elapsedClock from './elapsed-clock.js'
+import * as routeTable from './route-table.js'
+
+/** Time between two reads. A change is in force this long after its acknowledgement, plus the read itself, in ms. */
+const READ_INTERVAL_MS = 900
+
+/** Time to the next read after one failed, in ms. */
+const RETRY_INTERVAL_MS = 250
+
+/** Reads under way at once: one that hangs does not hold up the next. */
+const MAX_READS = 3
+
+/** What a feed needs from its surroundings. */
+export interface ConfigFeedParts {
+  readonly env: time.Env
+  readonly elapsed: elapsedClock.ElapsedClock
+  readonly store: external.ObjectStore
+  readonly key: string
+  /** Decodes the stored text; throws when it is not a configuration. */
+  readonly decode: (text: string) => serving.ServingConfig
+  readonly log: log.Logger
+  readonly metrics: metrics.Metrics
+}
+
+/** Reads the configuration at intervals; a version never goes back. */
+export class ConfigFeed implements Disposable {
+  readonly currency: currency.Currency
+  private table: routeTable.RouteTable | undefined
+  private storeVersion = 0
+  private reads = 0
+  private timer: Disposable | undefined
+  private failing = false
+  private readonly listeners: Array<(config: serving.ServingConfig) => void> = []
+
+  constructor (private readonly parts: ConfigFeedParts) {
+    this.currency = new currency.Currency(parts.elapsed)
+  }
+
+  /** Starts reading. */
+  start (): void {
+    this.tick(READ_INTERVAL_MS)
+  }
+
+  /** The newest version that was read. */
+  current (): routeTable.RouteTable | undefined {
+    return this.table
+  }
+
+  /** Calls `listener` with each new version. */
+  onChange (listener: (config: serving.ServingConfig) => void): void {
+    this.listeners.push(listener)
+  }
+
+  /** Reads at once; for a request that the known configuration does not allow. */
+  async refresh (): Promise<void> {
+    if (this.reads < MAX_READS) await this.read()
+  }
+
+  [Symbol.dispose] (): void {
+    this.timer?.[Symbol.dispose]()
+    this.timer = undefined
+  }
+
+  private tick (delayMs: number): void {
+    this.timer = this.parts.env.timers.after(delayMs, () => this.tick(this.failing ? RETRY_INTERVAL_MS : READ_INTERVAL_MS))
+    if (this.reads < MAX_READS) this.read().catch((err: unknown) => this.parts.log.error({ err }, 'config_read_failed'))
+  }
+
+  private async read (): Promise<void> {
+    this.reads++
+    const askedAt = this.currency.ask()
+    try {
+      const found = await this.parts.store.get(this.parts.key)
+      if (found.err) this.noteFailure(found.val.message)
+      else this.take(found.val, askedAt)
+    } finally {
+      this.reads--
+    }
+  }
+
+  private take (object: external.StoredObject | undefined, askedAt: number): void {
+    if (object === undefined) {
+      this.noteFailure('there is no configuration yet')
+      return
+    }
+    if (object.version < this.storeVersion) return
+    if (object.version > this.storeVersion && !this.apply(object)) return
+    this.currency.proved(askedAt)
+    if (!this.failing) return
+    this.failing = false
+    this.parts.log.info({ dependency: 'config', version: this.table?.config.version }, 'dependency_regained')
+  }
+
+  private apply (object: external.StoredObject): boolean {
+    try {
+      const config = this.parts.decode(object.value)
+      if (this.table !== undefined && config.version < this.table.config.version) {
+        this.parts.log.warn({ version: config.version, held: this.table.config.version }, 'config_older_ignored')
+        return false
+      }
+      this.storeVersion = object.version
+      this.table = new routeTable.RouteTable(config)
+      this.parts.log.info({ version: config.version, revision: object.version, routes: config.routes.length }, 'config_applied')
+      for (const listener of this.listeners) listener(config)
+      return true
+    } catch (err) {
+      this.noteFailure(err instanceof Error ? err.message : String(err))
+      return false
+    }
+  }
+
+  private noteFailure (reason: string): void {
+    this.parts.metrics.count('godwitpoint_config_read_failures_total')
+    if (this.failing) return
+    this.failing = true
+    this.parts.log.warn({ dependency: 'config', reason, age_ms: Math.round(this.currency.ageMs) }, 'dependency_lost')
+  }
+}
--- a/src/spending/target-order-sender.ts
+++ b/src/spending/target-order-sender.ts
@@ -2,7 +2,7 @@
 import { Err, Ok, StepError, type Result } from '../errors/index.js'
 import type { Metrics } from '../metrics/index.js'
 import type { IntentSender } from '../orders/index.js'
-import type { OrderedTarget, OrderError, TargetOrdering } from '../platform/index.js'
+import type { OrderedTarget, OrderError, TargetOrdering } from '../external/index.js'
 import type { Intent } from '../schema/index.js'
 
 /** Attempts at one order within one call; a later tick goes on with the same token. */
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -6,8 +6,8 @@
 import type { CacheEvent, EngineOrder, EngineState, LoadReport, Role } from '../schema/index.js'
 import type {
   CacheBatch, Engine, GenerateEnd, GenerateReq, OrderReply, PieceSink, TargetError
-} from '../target/index.js'
-import { countTokens, PIECE_TOKENS, prefixChain } from '../target/index.js'
+} from '../target-clients/index.js'
+import { countTokens, PIECE_TOKENS, prefixChain } from '../target-clients/index.js'
 import { delay, type Clock, type Timers } from '../time/index.js'
 import { ModelText } from './model-text.js'
 
--- a/src/standin/http-platform-server.ts
+++ b/src/standin/http-platform-server.ts
@@ -1,8 +1,8 @@
 /** Serves the in-memory platform over HTTP. */
 import type * as http from 'node:http'
 import type { Result } from '../errors/index.js'
-import type { OrderError, ReportError, StoreError } from '../platform/index.js'
-import * as wire from '../platform/wire.js'
+import type { OrderError, ReportError, StoreError } from '../external/index.js'
+import * as wire from '../external/wire.js'
 import { listenOnLoopback, readJson, sendJson, type StandinServer } from './http-common.js'
 import type { MemoryPlatform } from './memory-platform.js'
 
--- a/src/standin/links.ts
+++ b/src/standin/links.ts
@@ -1,7 +1,7 @@
 /** Links from a process to the outside interfaces that can be cut, silent or slow; each call passes the process's gate. */
 import { Err, type Result } from '../errors/index.js'
-import type { ObjectStore, Platform } from '../platform/index.js'
-import type { Engine, GenerateEnd, GenerateReq, PieceSink, PlainReq, PlainRes, PlainTarget, TargetError } from '../target/index.js'
+import type { ObjectStore, Platform } from '../external/index.js'
+import type { Engine, GenerateEnd, GenerateReq, PieceSink, PlainReq, PlainRes, PlainTarget, TargetError } from '../target-clients/index.js'
 import { delay, withDeadline, type VirtualTime } from '../time/index.js'
 import type { Gate } from './process-gate.js'
 
--- a/src/standin/memory-platform.ts
+++ b/src/standin/memory-platform.ts
@@ -2,7 +2,7 @@
 import { Err, Ok, type Result } from '../errors/index.js'
 import type {
   OrderedTarget, OrderError, Platform, ReportError, StoreError, TargetOrder, TargetOrdering, UsageBill, UsageReports, VmDirectory, VmRecord
-} from '../platform/index.js'
+} from '../external/index.js'
 import type { PriceClass } from '../schema/index.js'
 import { delay, type Env } from '../time/index.js'
 import { MemoryStore } from './memory-store.js'
--- a/src/standin/memory-store.ts
+++ b/src/standin/memory-store.ts
@@ -1,6 +1,6 @@
 /** In-memory versioned object store with faults that tests switch on. */
 import { Err, Ok, type Result } from '../errors/index.js'
-import type { Expected, ObjectStore, StoredObject, StoreError, WatchBatch } from '../platform/index.js'
+import type { Expected, ObjectStore, StoredObject, StoreError, WatchBatch } from '../external/index.js'
 import { delay, type Timers } from '../time/index.js'
 
 /** Largest value, in characters. */
--- a/src/standin/plain.ts
+++ b/src/standin/plain.ts
@@ -1,6 +1,6 @@
 /** A stand-in plain service: it records what it is told, so that checks can count effects. */
 import { Err, Ok, type Result } from '../errors/index.js'
-import type { PlainReq, PlainRes, PlainTarget, TargetError } from '../target/index.js'
+import type { PlainReq, PlainRes, PlainTarget, TargetError } from '../target-clients/index.js'
 import { delay, type Timers } from '../time/index.js'
 
 /** An effect of a call, as the service recorded it. */
--- /dev/null
+++ b/src/upstream/connection.ts
@@ -0,0 +1,155 @@
+/** One connection to a target. */
+import type * as time from '../time/index.js'
+import * as undici from 'undici'
+import type * as types from './types.js'
+
+/** Time allowed to open a connection, in ms; targets are in the same region. */
+const CONNECT_TIMEOUT_MS = 700
+
+/** Idle time after which a connection is not used when the target states none, in ms. */
+const DEFAULT_IDLE_MS = 1_500
+
+/** Part of the stated idle time for which a connection is used. */
+const IDLE_SHARE = 0.7
+const IDLE_SHARE_ONCE = 0.4
+
+/** Largest header block accepted from a target, in bytes. */
+const MAX_HEADER_BYTES = 64 * 1024
+
+/** A connection that carries one request at a time; it is given up when anything on it goes wrong. */
+export class Connection {
+  private readonly client: undici.Client
+  private idleSince = 0
+  private idleMs = DEFAULT_IDLE_MS
+  private used = false
+  private connected = false
+  closed = false
+
+  constructor (readonly address: string, private readonly clock: time.Clock, private readonly onClosed: (connection: Connection) => void) {
+    this.client = new undici.Client(`http://${address}`, {
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: 60_000,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      maxHeaderSize: MAX_HEADER_BYTES
+    })
+    this.client.on('connect', () => { this.connected = true })
+    this.client.on('disconnect', () => this.close())
+    this.client.on('connectionError', () => this.close())
+  }
+
+  /** Whether a request may still be sent on this idle connection. */
+  usable (once: boolean): boolean {
+    const share = once ? IDLE_SHARE_ONCE : IDLE_SHARE
+    return !this.closed && this.connected && this.clock.now() - this.idleSince < this.idleMs * share
+  }
+
+  /** Sends a request; `onIdle` is called when the connection may carry another one. */
+  send (req: types.SendReq, receiver: types.Receiver, onIdle: () => void): types.Sending {
+    const exchange = new Exchange(this, receiver, onIdle)
+    const opts = {
+      method: req.method as undici.Dispatcher.HttpMethod,
+      path: req.path,
+      headers: [...req.headers],
+      body: req.body.length === 0 ? null : req.body,
+      // undici treats some methods as idempotent and would send them again by itself.
+      idempotent: false,
+      reset: false
+    }
+    try {
+      this.client.dispatch(opts, exchange)
+    } catch (err) {
+      exchange.onResponseError(undefined, err as Error)
+    }
+    return exchange
+  }
+
+  /** Notes the end of an answer and the idle time that the target stated. */
+  becameIdle (statedIdleMs: number | undefined): void {
+    this.used = true
+    this.idleSince = this.clock.now()
+    if (statedIdleMs !== undefined) this.idleMs = statedIdleMs
+  }
+
+  /** Whether the connection has carried a request before. */
+  get kept (): boolean {
+    return this.used
+  }
+
+  /** Closes the socket. */
+  close (): void {
+    if (this.closed) return
+    this.closed = true
+    this.client.destroy().catch(() => { /* destroying a closed client has no effect */ })
+    this.onClosed(this)
+  }
+}
+
+/** A request and its answer on a connection. */
+class Exchange implements types.Sending, undici.Dispatcher.DispatchHandler {
+  written = false
+  private controller: undici.Dispatcher.DispatchController | undefined
+  private finished = false
+  private mustClose = false
+  private idleMs: number | undefined
+
+  constructor (private readonly connection: Connection, private readonly receiver: types.Receiver, private readonly onIdle: () => void) {}
+
+  abort (): void {
+    if (this.finished) return
+    this.finished = true
+    this.connection.close()
+  }
+
+  pause (): void {
+    this.controller?.pause()
+  }
+
+  resume (): void {
+    this.controller?.resume()
+  }
+
+  onRequestStart (controller: undici.Dispatcher.DispatchController): void {
+    // A second start would send the request again on a new connection.
+    if (this.written) controller.abort(new Error('the connection was lost'))
+    this.controller = controller
+    this.written = true
+  }
+
+  onResponseStart (_controller: undici.Dispatcher.DispatchController, status: number, headers: types.AnswerHeaders): void {
+    if (this.finished || status < 200) return
+    this.mustClose = /\bclose\b/i.test(single(headers.connection) ?? '')
+    this.idleMs = keepAliveMs(single(headers['keep-alive']))
+    this.receiver.head(status, headers)
+  }
+
+  onResponseData (_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.finished) this.receiver.data(chunk)
+  }
+
+  onResponseEnd (): void {
+    if (this.finished) return
+    this.finished = true
+    this.connection.becameIdle(this.idleMs)
+    if (this.mustClose) this.connection.close()
+    else this.onIdle()
+    this.receiver.end()
+  }
+
+  onResponseError (_controller: undici.Dispatcher.DispatchController | undefined, err: Error): void {
+    if (this.finished) return
+    this.finished = true
+    this.connection.close()
+    this.receiver.fail({ written: this.written, message: err.message })
+  }
+}
+
+function keepAliveMs (value: string | undefined): number | undefined {
+  const seconds = /timeout=(\d+)/i.exec(value ?? '')?.[1]
+  return seconds === undefined ? undefined : Number(seconds) * 1_000
+}
+
+function single (value: string | string[] | undefined): string | undefined {
+  return Array.isArray(value) ? value.join(',') : value
+}
--- a/src/usage/conditional-write.ts
+++ b/src/usage/conditional-write.ts
@@ -1,6 +1,6 @@
 /** Conditional updates whose lost replies are resolved. */
 import { Err, Ok, type Result } from '../errors/index.js'
-import type { Expected, ObjectStore, StoredObject, StoreError } from '../platform/index.js'
+import type { Expected, ObjectStore, StoredObject, StoreError } from '../external/index.js'
 
 /** Attempts at one update; conflicts and lost replies use them up. */
 const ATTEMPTS = 4
--- a/src/usage/replica-store.ts
+++ b/src/usage/replica-store.ts
@@ -1,6 +1,6 @@
 /** Holds replicas of other entries' counters and writes those of dead entries to the store. */
 import type { Metrics } from '../metrics/index.js'
-import type { ObjectStore } from '../platform/index.js'
+import type { ObjectStore } from '../external/index.js'
 import type { UsageRow } from '../schema/index.js'
 import type { Clock } from '../time/index.js'
 import { ReplicateReq, type ReplicateRes } from './replica-sender.js'
--- a/src/usage/report-sender.ts
+++ b/src/usage/report-sender.ts
@@ -2,7 +2,7 @@
 import { Err, Ok, StepError, type Result } from '../errors/index.js'
 import type { Metrics } from '../metrics/index.js'
 import type { IntentSender } from '../orders/index.js'
-import type { ObjectStore, ReportError, UsageReports } from '../platform/index.js'
+import type { ObjectStore, ReportError, UsageReports } from '../external/index.js'
 import { OPEN_ACCOUNT, type Intent, type IntentBody, type UsageRow } from '../schema/index.js'
 import { decode, finalKey, FinalUsage } from './usage-records.js'
 
--- a/src/usage/usage-flush.ts
+++ b/src/usage/usage-flush.ts
@@ -1,7 +1,7 @@
 /** Writes an entry's counters to the store. */
 import { Ok, type Result } from '../errors/index.js'
 import type { Metrics } from '../metrics/index.js'
-import type { ObjectStore, StoredObject, StoreError } from '../platform/index.js'
+import type { ObjectStore, StoredObject, StoreError } from '../external/index.js'
 import type { UsageRow } from '../schema/index.js'
 import { changeObject } from './conditional-write.js'
 import { decode, encode, entryKey, EntryUsage } from './usage-records.js'
--- a/src/usage/window-closer.ts
+++ b/src/usage/window-closer.ts
@@ -1,7 +1,7 @@
 /** Closes windows of one shard: reads the entries' usage and writes final records, one a window. */
 import { Err, Ok, type Result } from '../errors/index.js'
 import type { Metrics } from '../metrics/index.js'
-import type { ObjectStore, StoredObject, StoreError } from '../platform/index.js'
+import type { ObjectStore, StoredObject, StoreError } from '../external/index.js'
 import type { Clock } from '../time/index.js'
 import { planClose, processOf, type VersionedUsage } from './close-plan.js'
 import { changeObject, putResolved } from './conditional-write.js'
--- a/test/authority/process.ts
+++ b/test/authority/process.ts
@@ -2,7 +2,7 @@
 import { preferenceRank, ScopeTask, SendGate, type ScopeDuty } from '../../src/authority/index.js'
 import { SILENT_LOGGER } from '../../src/log/index.js'
 import { Metrics } from '../../src/metrics/index.js'
-import type { ObjectStore } from '../../src/platform/index.js'
+import type { ObjectStore } from '../../src/external/index.js'
 import { SeededRandom, type Env, type VirtualTime } from '../../src/time/index.js'
 
 /** Settings of a test process. */
--- a/test/daemon/target-publisher.test.ts
+++ b/test/daemon/target-publisher.test.ts
@@ -2,7 +2,7 @@
 import * as chai from 'chai'
 import { checkConfig } from '../../src/config/index.js'
 import { withTargets, type TargetNews } from '../../src/daemon/target-publisher.js'
-import type { OrderedTarget } from '../../src/platform/index.js'
+import type { OrderedTarget } from '../../src/external/index.js'
 import type { ConfigSet } from '../../src/schema/index.js'
 
 const declared = checkConfig(JSON.parse(fs.readFileSync('examples/consortium.json', 'utf8'))).unwrap()
--- a/test/daemon/targets-child.test.ts
+++ b/test/daemon/targets-child.test.ts
@@ -4,7 +4,7 @@
 import { SILENT_LOGGER } from '../../src/log/index.js'
 import { TwoChoiceRouter, type RouteNeed } from '../../src/routing/index.js'
 import { DEFAULT_ENGINE, StandinEngine } from '../../src/standin/index.js'
-import { prefixChain } from '../../src/target/index.js'
+import { prefixChain } from '../../src/target-clients/index.js'
 import { VirtualTime } from '../../src/time/index.js'
 
 /** The bound within which a leaving target gets no new work. */
--- a/test/entry/entry-fixture.ts
+++ b/test/entry/entry-fixture.ts
@@ -8,7 +8,7 @@
 import { Metrics } from '../../src/metrics/index.js'
 import { LeastSentRouter, type RoutedTarget, type Router } from '../../src/routing/index.js'
 import { DEFAULT_ENGINE, MemoryStore, StandinEngine, StandinPlain, type RecordedCall } from '../../src/standin/index.js'
-import { SILENT_MS, type Engine, type GenerateReq, type PieceSink } from '../../src/target/index.js'
+import { SILENT_MS, type Engine, type GenerateReq, type PieceSink } from '../../src/target-clients/index.js'
 import { delay, VirtualTime } from '../../src/time/index.js'
 import { UsageCounters } from '../../src/usage/index.js'
 
--- a/test/orders/order-runner.test.ts
+++ b/test/orders/order-runner.test.ts
@@ -6,7 +6,7 @@
 import type { EngineOrder, Intent } from '../../src/schema/index.js'
 import { DEFAULT_ENGINE, MemoryStore, StandinEngine } from '../../src/standin/index.js'
 import type { ReceivedOrder } from '../../src/standin/engine.js'
-import type { Engine } from '../../src/target/index.js'
+import type { Engine } from '../../src/target-clients/index.js'
 import { VirtualTime } from '../../src/time/index.js'
 import { TestProcess } from '../authority/process.js'
 
--- a/test/routing/fleet-sim.ts
+++ b/test/routing/fleet-sim.ts
@@ -1,6 +1,6 @@
 /** Targets as queues that work one request after the other, and routers that see the same late reports. */
 import { LeastSentRouter, type RoutedTarget, type RouteNeed, type Router } from '../../src/routing/index.js'
-import { PIECE_TOKENS } from '../../src/target/index.js'
+import { PIECE_TOKENS } from '../../src/target-clients/index.js'
 import { SeededRandom, type VirtualTime } from '../../src/time/index.js'
 
 /** Tokens per second of every simulated target. */
--- a/test/support/control-process.ts
+++ b/test/support/control-process.ts
@@ -5,7 +5,7 @@
 import { SILENT_LOGGER } from '../../src/log/index.js'
 import { ScopeRecord } from '../../src/schema/index.js'
 import { linkEngine, type PlatformCall } from '../../src/standin/index.js'
-import type { Engine } from '../../src/target/index.js'
+import type { Engine } from '../../src/target-clients/index.js'
 import { ACCOUNTS, Proc, type World } from './world.js'
 import { smallConfig } from './build.js'
 
--- a/test/support/variant.ts
+++ b/test/support/variant.ts
@@ -4,7 +4,7 @@
 import type { ConfigView } from '../../src/entry/index.js'
 import type { Router } from '../../src/routing/index.js'
 import type { MemoryStore } from '../../src/standin/index.js'
-import type { TargetClients } from '../../src/target/index.js'
+import type { TargetClients } from '../../src/target-clients/index.js'
 
 export interface Variant {
   readonly claims?: (inner: Claims) => Claims
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -4,7 +4,7 @@
 import { SILENT_LOGGER } from '../../src/log/index.js'
 import { Metrics } from '../../src/metrics/index.js'
 import type { Peers } from '../../src/peer/index.js'
-import type { Platform } from '../../src/platform/index.js'
+import type { Platform } from '../../src/external/index.js'
 import type { ConfigSet } from '../../src/schema/index.js'
 import {
   Connection, DEFAULT_ENGINE, Gate, gatedEnv, linkPlatform, MemoryPeers, MemoryPlatform, StandinEngine, StandinPlain,
--- a/test/target/http-engine.test.ts
+++ b/test/target/http-engine.test.ts
@@ -1,7 +1,7 @@
 import * as http from 'node:http'
 import type * as net from 'node:net'
 import * as chai from 'chai'
-import { HttpTargetClients, SILENT_MS, type GenerateReq } from '../../src/target/index.js'
+import { HttpTargetClients, SILENT_MS, type GenerateReq } from '../../src/target-clients/index.js'
 
 const REQ: GenerateReq = { id: 'a', model: 'm', prompt: 'p', maxTokens: 1, priority: 5, seed: 1, from: 0 }
 const END = 'data: {"index":0,"text":" x"}\n\ndata: {"end":{"prompt_tokens":1,"cached_tokens":0,"output_tokens":1}}\n\n'
