Exchange load between gateways; send calls that cannot be in time under a late rank; refuse what cannot begin in time

An answer without a length that ends with a reset was delivered as complete: undici takes a reset as the end.

--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -58,6 +58,8 @@
   readonly leftMs: number
   /** Event after which the stream goes on. */
   readonly resumeAfter?: string | undefined
+  /** Rank for the target: the call's own, or a later one when the call is not expected to be in time. */
+  readonly rank: number
   /** Only reads the prompt, and keeps its cache for a hand-over. */
   readonly readOnly?: boolean | undefined
   readonly handOver?: HandOver | undefined
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -1,5 +1,6 @@
 /** Which gateways there are and which of them callers are told. */
 import type * as external from '../external/index.js'
+import * as fleet from '../fleet/index.js'
 import type * as log from '../log/index.js'
 import type * as peer from '../peer/index.js'
 import type * as time from '../time/index.js'
@@ -13,7 +14,7 @@
 
 /** Time between two reads of the list, and between two questions to a gateway, in ms. */
 const LIST_MS = 2_000
-const ASK_MS = 500
+const ASK_MS = 120
 
 /** Time allowed for an answer of a gateway, in ms. */
 const ANSWER_MS = 400
@@ -31,7 +32,7 @@
 /** A gateway as it makes itself known. */
 export type GatewayRecord = z.infer<typeof GatewayRecord>
 
-const ReadyAnswer = z.object({ incarnation: z.string(), ready: z.boolean() })
+const ReadyAnswer = z.object({ incarnation: z.string(), ready: z.boolean(), load: z.array(fleet.LoadRow) })
 
 interface Known {
   record: GatewayRecord
@@ -45,6 +46,8 @@
   readonly store: external.ObjectStore
   readonly peers: peer.Peers
   readonly self: GatewayRecord
+  /** Exchanges load with the other gateways. */
+  readonly fleet: fleet.Fleet
   /** Whether this gateway serves callers now. */
   readonly ready: () => boolean
   readonly log: log.Logger
@@ -58,7 +61,7 @@
   private busy = false
 
   constructor (private readonly parts: DirectoryParts) {
-    parts.peers.handle(READY_METHOD, async () => ({ incarnation: parts.self.incarnation, ready: parts.ready() }))
+    parts.peers.handle(READY_METHOD, async () => ({ incarnation: parts.self.incarnation, ready: parts.ready(), load: parts.fleet.loadRows() }))
   }
 
   /** Makes this gateway known and starts to ask the others. */
@@ -152,5 +155,6 @@
     if (known.ready !== parsed.data.ready) this.parts.log.info({ gateway: record.name, ready: parsed.data.ready }, 'gateway_state')
     known.ready = parsed.data.ready
     known.answeredAt = this.parts.env.clock.now()
+    this.parts.fleet.peers.take(record.name, parsed.data.load, known.answeredAt)
   }
 }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -2,6 +2,7 @@
 import type * as log from '../log/index.js'
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
+import * as peerLoad from './peer-load.js'
 import * as targetState from './target-state.js'
 
 /** Time for which a missing entry is not taken as gone after the list could not be read, in ms. */
@@ -18,6 +19,8 @@
 /** Targets by id, as their list in the store had them last. */
 export class Fleet {
   private readonly targets = new Map<string, targetState.TargetState>()
+  /** Load of other gateways. */
+  readonly peers = new peerLoad.PeerLoad()
   private byService = new Map<string, targetState.TargetState[]>()
   private graceUntil = -Infinity
 
@@ -33,6 +36,16 @@
     return this.targets.values()
   }
 
+  /** Load of this gateway, for the others. */
+  loadRows (): peerLoad.LoadRow[] {
+    const rows: peerLoad.LoadRow[] = []
+    for (const state of this.targets.values()) {
+      const row = state.toRow()
+      if (row !== undefined) rows.push(row)
+    }
+    return rows
+  }
+
   /** Notes that the list could not be read: entries may have lapsed meanwhile though their targets live. */
   listFailed (): void {
     this.graceUntil = this.parts.clock.now() + RETURN_GRACE_MS
@@ -63,7 +76,7 @@
     const state = this.targets.get(record.id)
     if (state === undefined || isRestart(state.record, record)) {
       if (state !== undefined) this.remove(state)
-      this.targets.set(record.id, new targetState.TargetState(record))
+      this.targets.set(record.id, new targetState.TargetState(record, this.peers))
       this.parts.log.info({ target: record.id, service: record.service, address: record.address, domain: record.domain, stage: record.stage, leaving: record.leaving, preemptible: record.preemptible }, 'target_listed')
       return
     }
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -69,7 +69,7 @@
   async run (): Promise<AttemptEnd> {
     const { call, plan, state } = this.spec
     state.running++
-    state.unreadTokens += this.unread
+    state.unread.add(plan.rank, this.unread)
     try {
       return await new Promise<AttemptEnd>((resolve) => {
         this.finish = resolve
@@ -86,6 +86,9 @@
     }
   }
 
+  /** Time to the first event, in ms, rounded; undefined before it. */
+  firstEventMs: number | undefined
+
   /** Gives the attempt up and closes its connection, so that the target stops work. */
   stop (): void {
     this.close({ kind: 'stopped' })
@@ -167,12 +170,13 @@
   private firstEvent (): void {
     if (this.unread < 0) return
     this.readDone()
+    this.firstEventMs = Math.round(this.heardAt - this.sentAt)
     this.parts.began(this.spec.call)
   }
 
   // The prompt has been read, or nobody waits for it.
   private readDone (): void {
-    if (this.unread > 0) this.spec.state.unreadTokens = Math.max(0, this.spec.state.unreadTokens - this.unread)
+    if (this.unread > 0) this.spec.state.unread.add(this.spec.plan.rank, -this.unread)
     this.unread = -1
   }
 
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -76,6 +76,7 @@
       if (stop !== undefined) return stop
       const placed = this.place()
       if (placed === undefined) return this.giveUp('no_target')
+      if (placed.expectedMs > this.servableMs) return this.giveUp('deadline_unreachable')
       if (!this.mayArrive()) return this.giveUp('retry_budget_exhausted')
       const done = await this.attemptAt(placed)
       if (done) return undefined
@@ -100,6 +101,12 @@
     return placer.place(this.call, new Set())
   }
 
+  /** Time within which a target must begin to answer for the caller to be there still, in ms. */
+  private get servableMs (): number {
+    const now = this.now()
+    return Math.min(this.call.deadlineAt, this.call.arrivedAt + this.call.route.patienceMs) - now
+  }
+
   private get mayRepeat (): boolean {
     return this.call.route.repeat !== 'once' || !this.mayHaveRun
   }
@@ -115,8 +122,8 @@
   /** Whether the answer was delivered. */
   private async attemptAt (placed: placement.Placement): Promise<boolean> {
     const { reader } = placed
-    if (reader === undefined || this.progress.lastId !== undefined) return await this.runAt(placed.target, placed.expectedMs, undefined)
-    const handle = await this.readAt(reader, placed.expectedMs)
+    if (reader === undefined || this.progress.lastId !== undefined) return await this.runAt(placed.target, placed, undefined)
+    const handle = await this.readAt(reader, placed)
     if (handle === undefined) return false
     const handOver = { address: reader.record.address, handle }
     const target = placed.target.accepts(this.now()) ? placed.target : undefined
@@ -124,11 +131,11 @@
       this.release(handOver)
       return false
     }
-    return await this.runAt(target, placed.expectedMs, handOver, reader)
+    return await this.runAt(target, placed, handOver, reader)
   }
 
-  private async readAt (reader: fleet.TargetState, expectedMs: number): Promise<string | undefined> {
-    const end = await this.send(reader, expectedMs, { readOnly: true })
+  private async readAt (reader: fleet.TargetState, placed: placement.Placement): Promise<string | undefined> {
+    const end = await this.send(reader, placed, { readOnly: true })
     const handle = end.kind === 'answered' && end.head.status === 200 ? this.parts.protocol.decodeHandle(end.body) : undefined
     const accepted = handle !== undefined && !this.readAccepted
     if (accepted) this.readAccepted = true
@@ -142,8 +149,8 @@
     return undefined
   }
 
-  private async runAt (target: fleet.TargetState, expectedMs: number, handOver: calls.HandOver | undefined, reader?: fleet.TargetState): Promise<boolean> {
-    const end = await this.send(target, expectedMs, { handOver })
+  private async runAt (target: fleet.TargetState, placed: placement.Placement, handOver: calls.HandOver | undefined, reader?: fleet.TargetState): Promise<boolean> {
+    const end = await this.send(target, placed, { handOver })
     if (end.kind === 'not_run') {
       if (end.written) this.arrivals++
       if (reader !== undefined && end.written) reader.handOverFailedAt = this.now()
@@ -179,17 +186,31 @@
     return true
   }
 
-  private async send (state: fleet.TargetState, expectedMs: number, extra: { readOnly?: boolean, handOver?: calls.HandOver | undefined }): Promise<attempt.AttemptEnd> {
+  private async send (state: fleet.TargetState, placed: placement.Placement, extra: { readOnly?: boolean, handOver?: calls.HandOver | undefined }): Promise<attempt.AttemptEnd> {
     const { call } = this
     const sentAt = this.now()
-    const plan: calls.SendPlan = { target: state.record, leftMs: call.deadlineAt - sentAt, resumeAfter: this.progress.lastId, ...extra }
+    const plan: calls.SendPlan = { target: state.record, leftMs: call.deadlineAt - sentAt, rank: placed.rank, resumeAfter: this.progress.lastId, ...extra }
     const stream = call.route.streams && extra.readOnly !== true ? { reply: this.reply, progress: this.progress } : undefined
     const unread = extra.handOver === undefined && call.prompt !== undefined ? Math.max(0, call.prompt.promptTokens - state.cache.kept(call.prompt)) : 0
-    const one = new attempt.Attempt(this.parts, { call, plan, state, stream, unread, ...patience.patienceOf(call, expectedMs, extra.readOnly === true) })
+    const one = new attempt.Attempt(this.parts, { call, plan, state, stream, unread, ...patience.patienceOf(call, placed.expectedMs, extra.readOnly === true) })
     this.current = one
     if (this.ended !== undefined) one.stop()
     const end = await one.run()
     this.current = undefined
+    this.parts.log.info({
+      id: call.id,
+      route: call.route.name,
+      target: state.record.id,
+      phase: extra.readOnly === true ? 'read' : extra.handOver !== undefined ? 'run_handed_over' : 'run',
+      rank: placed.rank,
+      waited_ms: Math.round(sentAt - call.arrivedAt),
+      expected_ms: Math.round(placed.expectedMs),
+      first_ms: one.firstEventMs,
+      ms: Math.round(this.now() - sentAt),
+      unread,
+      kind: end.kind,
+      status: end.kind === 'answered' ? end.head.status : undefined
+    }, 'attempt_ended')
     this.record(end, state, sentAt, extra)
     return end
   }
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -91,7 +91,7 @@
     this.fleet = new fleet.Fleet({ clock: env.clock, log, onGone: (address) => this.pool.drop(address) })
     this.fleetFeed = new fleet.FleetFeed({ env, store, fleet: this.fleet, log, ...parts.targets })
     this.peers = new peer.TcpPeers(env.timers)
-    this.directory = new directory.Directory({ env, store, peers: this.peers, self: this.record(), ready: () => this.ready, log })
+    this.directory = new directory.Directory({ env, store, peers: this.peers, fleet: this.fleet, self: this.record(), ready: () => this.ready, log })
     const turnMs = settings.bounds.turnMs
     this.lease = new duties.Lease({ env, elapsed: this.elapsed, store, holder: settings.name, incarnation: settings.incarnation, turnMs, log })
     const windowMs = settings.bounds.usageWindowMs
--- a/src/placement/engine-placer.ts
+++ b/src/placement/engine-placer.ts
@@ -2,24 +2,27 @@
  * Placement of model calls. Answers the load of prompts whose shared parts are larger than what is their own: a part is
  * read best where it is kept, so each part has the same home for all gateways, and spills when its home has a backlog.
  */
-import type * as fleet from '../fleet/index.js'
+import * as fleet from '../fleet/index.js'
 import type * as calls from '../call/index.js'
 import * as hash from '../hash/index.js'
 import type * as time from '../time/index.js'
 import type * as types from './types.js'
 
 /** Prompt tokens that an engine reads in a ms: one that only reads, and one that also generates. */
-const READ_RATE = 140
-const MIXED_READ_RATE = 70
+const READ_RATE = 150
+const MIXED_READ_RATE = 42
 
 /** Time to the first event beside reading, in ms. */
-const FIRST_EVENT_MS = 30
+const FIRST_EVENT_MS = 65
+
+/** A call is sent under its own rank up to this much more than the time that counts as in time. */
+const IN_TIME_FACTOR = 1.1
 
 /** Time to fetch a cache from another engine, in ms. */
-const MOVE_MS = 12
+const MOVE_MS = 10
 
 /** Extra time a call in flight adds to the first event of the next, in ms. */
-const RUNNING_MS = 0.4
+const RUNNING_MS = 0.5
 
 /** A token read that another target keeps counts this much more than the time it takes. */
 const REREAD_WEIGHT = 1.5
@@ -47,46 +50,54 @@
 export class EnginePlacer implements types.Placer {
   constructor (private readonly fleet: fleet.Fleet, private readonly env: time.Env, private readonly domain: string) {}
 
+  // A call that cannot be in time is sent under a later rank: it delays none that can, and runs when there is room.
   place (call: calls.Call, tried: ReadonlySet<string>): types.Placement | undefined {
     const now = this.env.clock.now()
     const states = this.fleet.ofService(call.service.name).filter((state) => !tried.has(state.record.id) && state.accepts(now))
-    const ranked = rank(homeKey(call), states)
-    const runner = this.leastLoaded(ranked, now)
+    const ranked = rankByHome(homeKey(call), states)
+    const inTime = this.best(call, ranked, call.rank, now)
+    if (inTime === undefined || inTime.expectedMs + now - call.arrivedAt <= call.route.aimMs * IN_TIME_FACTOR) return inTime
+    return this.best(call, ranked, fleet.lateRank(call.rank), now)
+  }
+
+  private best (call: calls.Call, ranked: readonly fleet.TargetState[], rank: number, now: number): Candidate | undefined {
+    const runner = this.leastLoaded(ranked, rank, now)
     if (runner === undefined) return undefined
     let best: Candidate | undefined
     for (const [index, state] of ranked.slice(0, CANDIDATES).entries()) {
-      const candidate = this.consider(call, state, index === 0, runner, now)
+      const candidate = this.consider(call, state, index === 0, runner, rank, now)
       if (candidate !== undefined && candidate.cost < (best?.cost ?? Infinity)) best = candidate
     }
     return best
   }
 
-  private consider (call: calls.Call, state: fleet.TargetState, home: boolean, runner: fleet.TargetState, now: number): Candidate | undefined {
+  private consider (call: calls.Call, state: fleet.TargetState, home: boolean, runner: fleet.TargetState, rank: number, now: number): Candidate | undefined {
     const reads = state.record.stage === 'prefill'
     if (reads && now - state.handOverFailedAt < HAND_OVER_PAUSE_MS) return undefined
     const rate = reads ? READ_RATE : MIXED_READ_RATE
     const unread = unreadTokens(call, state, home)
-    const waitMs = state.unreadTokens / rate
+    const waitMs = state.unreadAhead(rank, now) / rate
     const readMs = unread / rate
     const target = reads ? runner : state
-    const runMs = target.load(now) * RUNNING_MS + (reads ? MOVE_MS + target.unreadTokens / MIXED_READ_RATE * 0.2 : 0)
+    const runMs = target.load(now) * RUNNING_MS + (reads ? MOVE_MS + target.unreadAhead(rank, now) / MIXED_READ_RATE : 0)
     const distanceMs = (state.record.domain === this.domain ? 0 : REMOTE_MS) + (target.record.domain === state.record.domain ? 0 : 2 * REMOTE_MS)
     const failureMs = FAILURE_MS * Math.max(state.failures.rate(now), target.failures.rate(now))
     return {
       target,
       reader: reads ? state : undefined,
+      rank,
       expectedMs: waitMs + readMs + runMs + FIRST_EVENT_MS,
       cost: waitMs + readMs * REREAD_WEIGHT + runMs + distanceMs + failureMs
     }
   }
 
-  // The engine that generates for those that only read: the one with the fewest calls, near ones first.
-  private leastLoaded (states: readonly fleet.TargetState[], now: number): fleet.TargetState | undefined {
+  // The engine that generates for those that only read: the one with the least to do, near ones first.
+  private leastLoaded (states: readonly fleet.TargetState[], rank: number, now: number): fleet.TargetState | undefined {
     let best: fleet.TargetState | undefined
     let lowest = Infinity
     for (const state of states) {
       if (state.record.stage === 'prefill') continue
-      const cost = state.load(now) * RUNNING_MS + state.unreadTokens / MIXED_READ_RATE * 0.2 + FAILURE_MS * state.failures.rate(now) +
+      const cost = state.load(now) * RUNNING_MS + state.unreadAhead(rank, now) / MIXED_READ_RATE + FAILURE_MS * state.failures.rate(now) +
         (state.record.domain === this.domain ? 0 : REMOTE_MS) + this.env.random.next()
       if (cost >= lowest) continue
       lowest = cost
@@ -117,7 +128,7 @@
 }
 
 // Weighted rendezvous hashing: an engine that only reads is home to twice as many parts as one that also generates.
-function rank (key: string, states: readonly fleet.TargetState[]): fleet.TargetState[] {
+function rankByHome (key: string, states: readonly fleet.TargetState[]): fleet.TargetState[] {
   return states
     .map((state) => ({ state, score: score(key, state) }))
     .sort((a, b) => b.score - a.score)
--- a/src/placement/plain-placer.ts
+++ b/src/placement/plain-placer.ts
@@ -33,7 +33,7 @@
     }
     if (best === undefined) return undefined
     const turns = Math.max(0, best.load(now) + 1 - best.record.slots) / best.record.slots
-    return { target: best, expectedMs: CALL_MS * (1 + turns) }
+    return { target: best, rank: call.rank, expectedMs: CALL_MS * (1 + turns) }
   }
 
   private cost (state: fleet.TargetState, now: number): number {
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -6,6 +6,8 @@
 export interface Placement {
   readonly target: fleet.TargetState
   readonly reader?: fleet.TargetState | undefined
+  /** Rank under which the call is sent. */
+  readonly rank: number
   /** Expected time to the first event, in ms. */
   readonly expectedMs: number
 }
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -23,6 +23,8 @@
   readonly timeoutMs: number
   /** Time to the answer, or to its first event, that counts as in time, in ms. */
   readonly aimMs: number
+  /** Silence after which callers give up, in ms. */
+  readonly patienceMs: number
   /** 0 is the most urgent. */
   readonly rank: number
   readonly shares: readonly RouteShare[]
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -24,11 +24,13 @@
   private used = false
   private connected = false
   closed = false
+  /** Whether the connection was reset; undici takes a reset as the end of an answer that has no length. */
+  reset = false
 
   constructor (readonly address: string, private readonly clock: time.Clock, private readonly onClosed: (connection: Connection) => void) {
     this.client = new undici.Client(`http://${address}`, {
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: this.connector(),
       keepAliveTimeout: 60_000,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -39,6 +41,14 @@
     this.client.on('connectionError', () => this.close())
   }
 
+  private connector (): undici.buildConnector.connector {
+    const connect = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+    return (opts, callback) => connect(opts, (...args) => {
+      args[1]?.once('error', () => { this.reset = true })
+      callback(...args)
+    })
+  }
+
   /** Whether a request may still be sent on this idle connection. */
   usable (once: boolean): boolean {
     const share = once ? IDLE_SHARE_ONCE : IDLE_SHARE
@@ -130,6 +140,10 @@
 
   onResponseEnd (): void {
     if (this.finished) return
+    if (this.connection.reset) {
+      this.onResponseError(undefined, new Error('connection reset'))
+      return
+    }
     this.finished = true
     this.connection.becameIdle(this.idleMs)
     if (this.mustClose) this.connection.close()
