--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -115,3 +115,28 @@
   /** Calls `fn` when the caller can take more. */
   onDrain (fn: () => void): void
 }
+
+/** A question for the changes of what an engine keeps. */
+export type CacheQuery = Pick<upstream.SendReq, 'method' | 'path' | 'headers' | 'once'>
+
+/** A part of prompts and how many of its tokens an engine keeps now. */
+export interface CacheChange {
+  readonly id: string
+  readonly tokens: number
+}
+
+/** Changes since an earlier answer. */
+export interface CacheChanges {
+  /** Changes when the engine starts again. */
+  readonly epoch: number | string
+  /** Where the next question goes on. */
+  readonly next: number
+  readonly changes: readonly CacheChange[]
+}
+
+/** How engines are asked what they keep. */
+export interface CacheProtocol {
+  encodeCacheQuery (target: serving.TargetRecord, since: number, waitMs: number): CacheQuery
+  /** Undefined when the body holds no changes that can be read. */
+  decodeCacheChanges (body: Uint8Array): CacheChanges | undefined
+}
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -226,7 +226,7 @@
   }
 
   private noteRead (state: fleet.TargetState): void {
-    if (this.call.prompt !== undefined) state.cache.read(this.call.prompt, this.call.service.engine?.memoryTokens ?? Infinity)
+    if (this.call.prompt !== undefined) state.cache.read(this.call.prompt)
   }
 
   private noteFailure (end: attempt.AttemptEnd, state: fleet.TargetState, phase: 'read' | 'run'): void {
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -58,7 +58,7 @@
   readonly env: time.Env
   readonly store: external.ObjectStore
   readonly callerProtocol: types.CallerProtocol
-  readonly targetProtocol: calls.TargetProtocol
+  readonly targetProtocol: calls.TargetProtocol & calls.CacheProtocol
   readonly dutyCalls: duties.DutyCalls
   readonly config: Pick<serving.ConfigFeedParts, 'key' | 'decode'>
   readonly targets: Pick<fleet.FleetFeedParts, 'prefix' | 'decode'>
@@ -72,6 +72,7 @@
   private readonly feed: serving.ConfigFeed
   private readonly fleet: fleet.Fleet
   private readonly fleetFeed: fleet.FleetFeed
+  private readonly cacheFeed: fleet.CacheFeed
   private readonly pool: upstream.ConnectionPool
   private readonly peers: peer.TcpPeers
   private readonly directory: directory.Directory
@@ -90,6 +91,7 @@
     this.pool = new upstream.ConnectionPool({ env, metrics })
     this.fleet = new fleet.Fleet({ clock: env.clock, log, onGone: (address) => this.pool.drop(address) })
     this.fleetFeed = new fleet.FleetFeed({ env, store, fleet: this.fleet, log, ...parts.targets })
+    this.cacheFeed = new fleet.CacheFeed({ env, fleet: this.fleet, upstream: this.pool, protocol: parts.targetProtocol, log })
     this.peers = new peer.TcpPeers(env.timers)
     this.directory = new directory.Directory({ env, store, peers: this.peers, fleet: this.fleet, self: this.record(), ready: () => this.ready, log })
     const turnMs = settings.bounds.turnMs
@@ -108,6 +110,7 @@
     const { settings } = this.parts
     this.feed.start()
     this.fleetFeed.start()
+    this.cacheFeed.start()
     await this.peers.listen(settings.peerHost, settings.peerPort)
     await this.front.listen(settings.frontHost, settings.frontPort)
     this.directory.start()
@@ -141,6 +144,7 @@
     await time.withDeadline(env.timers, HAND_BACK_MS, this.ledger[Symbol.asyncDispose](), () => undefined)
     this.feed[Symbol.dispose]()
     this.fleetFeed[Symbol.dispose]()
+    this.cacheFeed[Symbol.dispose]()
     this.pool[Symbol.dispose]()
   }
 
