Order preemptible engines on top of standard ones; ask peers for usage; tell a reset from an end

Ruled out: the order of error listeners (trace: only an end was seen). Test with a real reset fails without the change. Usage of a gateway that was cut off from the store was missing from its windows; the holder now asks the others directly.

--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -85,6 +85,11 @@
     return [...this.known.values()].map((one) => one.record.front).slice(0, MAX_NAMED)
   }
 
+  /** Addresses at which the other gateways are asked. */
+  peerAddresses (): string[] {
+    return [...this.known.values()].map((one) => one.record.peer)
+  }
+
   /** Gateways that may be sending requests, this one included. */
   get size (): number {
     const now = this.parts.env.clock.now()
--- a/src/duties/index.ts
+++ b/src/duties/index.ts
@@ -3,3 +3,6 @@
 export { Lease, LEASE_KEY, type LeaseParts } from './lease.js'
 export { UsageLedger, COUNTS_PREFIX, type LedgerParts } from './usage-ledger.js'
 export { UsageCloser, FINALS_KEY, type CloserParts } from './usage-closer.js'
+export { planOrders, type DomainCount, type OrderState } from './order-plan.js'
+export { TargetOrders, SIZES_KEY, type TargetOrdersParts } from './target-orders.js'
+export { UsageExchange, type ProcessCounts, type UsageExchangeParts } from './usage-exchange.js'
--- a/src/duties/usage-closer.ts
+++ b/src/duties/usage-closer.ts
@@ -5,6 +5,7 @@
 import * as z from 'zod'
 import type * as lease from './lease.js'
 import type * as types from './types.js'
+import type * as usageExchange from './usage-exchange.js'
 import * as usageLedger from './usage-ledger.js'
 
 /** Key of the final counts. */
@@ -33,6 +34,7 @@
   readonly store: external.ObjectStore
   readonly lease: lease.Lease
   readonly calls: types.DutyCalls
+  readonly exchange: usageExchange.UsageExchange
   readonly windowMs: number
   readonly log: log.Logger
 }
@@ -87,8 +89,10 @@
   private async close (due: number): Promise<void> {
     const listed = await this.parts.store.list(usageLedger.COUNTS_PREFIX)
     if (listed.err || this.stored === undefined) return
-    const totals = new Map<number, Record<string, number>>()
-    for (const object of listed.val) this.add(object, due, totals)
+    const processes = new Map<string, usageLedger.WindowCounts>()
+    for (const object of listed.val) this.take(object, due, processes)
+    for (const { name, windows } of await this.parts.exchange.collect()) merge(processes, name, windows)
+    const totals = totalsOf(processes.values())
     const finals: Finals = {}
     for (const [window, final] of Object.entries(this.stored.finals)) {
       if (Number(window) > due - GIVE_UP_WINDOWS) finals[window] = final
@@ -99,16 +103,11 @@
     if (await this.write(finals)) this.lastClosed = due
   }
 
-  private add (object: external.StoredObject, due: number, totals: Map<number, Record<string, number>>): void {
+  private take (object: external.StoredObject, due: number, processes: Map<string, usageLedger.WindowCounts>): void {
     const parsed = Windows.safeParse(JSON.parse(object.value))
     if (!parsed.success) return
-    const windows = Object.entries(parsed.data)
-    for (const [window, counts] of windows) {
-      const total = totals.get(Number(window)) ?? {}
-      totals.set(Number(window), total)
-      for (const [account, count] of Object.entries(counts)) total[account] = (total[account] ?? 0) + count
-    }
-    const newest = Math.max(...windows.map(([window]) => Number(window)))
+    merge(processes, object.key.slice(usageLedger.COUNTS_PREFIX.length), parsed.data)
+    const newest = Math.max(...Object.keys(parsed.data).map(Number))
     if (newest < due - DELETE_WINDOWS) this.forget(object)
   }
 
@@ -144,3 +143,25 @@
     }
   }
 }
+
+// Counts of a process only grow, so of two statements the higher one is the later one.
+function merge (processes: Map<string, usageLedger.WindowCounts>, name: string, windows: usageLedger.WindowCounts): void {
+  const held = processes.get(name) ?? {}
+  processes.set(name, held)
+  for (const [window, counts] of Object.entries(windows)) {
+    const known = held[window] = { ...held[window] }
+    for (const [account, count] of Object.entries(counts)) known[account] = Math.max(known[account] ?? 0, count)
+  }
+}
+
+function totalsOf (processes: Iterable<usageLedger.WindowCounts>): Map<number, Record<string, number>> {
+  const totals = new Map<number, Record<string, number>>()
+  for (const windows of processes) {
+    for (const [window, counts] of Object.entries(windows)) {
+      const total = totals.get(Number(window)) ?? {}
+      totals.set(Number(window), total)
+      for (const [account, count] of Object.entries(counts)) total[account] = (total[account] ?? 0) + count
+    }
+  }
+  return totals
+}
--- a/src/duties/usage-ledger.ts
+++ b/src/duties/usage-ledger.ts
@@ -50,6 +50,16 @@
     this.dirty = true
   }
 
+  /** Name of this process's object. */
+  get name (): string {
+    return this.parts.name
+  }
+
+  /** All counts that are kept. */
+  get counts (): WindowCounts {
+    return this.windows
+  }
+
   /** Number of the present window. */
   windowNow (): number {
     return Math.floor(this.parts.env.clock.wall() / this.parts.windowMs)
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -38,6 +38,8 @@
   /** Changes with each start of a process. */
   readonly incarnation: string
   readonly domain: string
+  /** All failure domains in which targets may be ordered. */
+  readonly domains: readonly string[]
   readonly frontHost: string
   readonly frontPort: number
   readonly peerHost: string
@@ -81,6 +83,7 @@
   private readonly lease: duties.Lease
   private readonly ledger: duties.UsageLedger
   private readonly closer: duties.UsageCloser
+  private readonly orders: duties.TargetOrders
   private readonly budgets = new Map<string, retry.SharedBudget>()
   private stopAt: number | undefined
 
@@ -98,7 +101,9 @@
     this.lease = new duties.Lease({ env, elapsed: this.elapsed, store, holder: settings.name, incarnation: settings.incarnation, turnMs, log })
     const windowMs = settings.bounds.usageWindowMs
     this.ledger = new duties.UsageLedger({ env, store, name: `${settings.name}.${settings.incarnation}`, windowMs, log })
-    this.closer = new duties.UsageCloser({ env, store, lease: this.lease, calls: parts.dutyCalls, windowMs, log })
+    const exchange = new duties.UsageExchange({ peers: this.peers, ledger: this.ledger, others: () => this.directory.peerAddresses() })
+    this.closer = new duties.UsageCloser({ env, store, lease: this.lease, calls: parts.dutyCalls, exchange, windowMs, log })
+    this.orders = this.createOrders()
     this.gateway = this.createGateway()
     const limits = (): serving.CallerLimits | undefined => this.feed.current()?.config.limits
     this.front = new httpFront.HttpFront({ env, protocol: parts.callerProtocol, handler: this.gateway, limits, log, metrics })
@@ -117,6 +122,7 @@
     this.lease.start()
     this.ledger.start()
     this.closer.start()
+    this.orders.start()
   }
 
   /** Whether callers are served. */
@@ -137,6 +143,7 @@
     const endAt = this.stopAt + settings.bounds.graceMs - EXIT_MARGIN_MS
     this.front.beginClose()
     this.closer[Symbol.dispose]()
+    this.orders[Symbol.dispose]()
     await time.withDeadline(env.timers, HAND_BACK_MS, this.handBack(), () => undefined)
     while (!this.refusing) await time.delay(env.timers, IDLE_LOOK_MS)
     this.front.stopListening()
@@ -162,6 +169,12 @@
     return { name, incarnation, domain, front: `${frontHost}:${frontPort}`, peer: `${peerHost}:${peerPort}` }
   }
 
+  private createOrders (): duties.TargetOrders {
+    const { env, store, dutyCalls, settings, log } = this.parts
+    const services = (): Iterable<serving.ServingService> => this.feed.current()?.config.services.values() ?? []
+    return new duties.TargetOrders({ env, store, lease: this.lease, calls: dutyCalls, fleet: this.fleet, services, domains: settings.domains, log })
+  }
+
   private createGateway (): gateway.Gateway {
     const { env, settings, targetProtocol, log, metrics } = this.parts
     const plain = new placement.PlainPlacer(this.fleet, env, settings.domain)
--- a/src/placement/engine-placer.ts
+++ b/src/placement/engine-placer.ts
@@ -28,7 +28,7 @@
 const REREAD_WEIGHT = 1.5
 
 /** Share of a part that its home is believed to keep though this gateway has not sent it there. */
-const HOME_TRUST = 0.6
+const HOME_TRUST = 0.3
 
 /** Cost of another failure domain, in ms. */
 const REMOTE_MS = 6
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -1,4 +1,5 @@
 /** One connection to a target. */
+import type * as net from 'node:net'
 import type * as time from '../time/index.js'
 import * as undici from 'undici'
 import type * as types from './types.js'
@@ -26,6 +27,8 @@
   closed = false
   /** Whether the connection was reset; undici takes a reset as the end of an answer that has no length. */
   reset = false
+  /** Whether the answer under way has no length and ends with the connection. */
+  endsAnswer = false
 
   constructor (readonly address: string, private readonly clock: time.Clock, private readonly onClosed: (connection: Connection) => void) {
     this.client = new undici.Client(`http://${address}`, {
@@ -42,13 +45,24 @@
   }
 
   private connector (): undici.buildConnector.connector {
-    const connect = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+    const options = { timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true }
+    const connect = undici.buildConnector(options)
     return (opts, callback) => connect(opts, (...args) => {
-      args[1]?.once('error', () => { this.reset = true })
+      const socket = args[1]
+      socket?.once('error', () => { this.reset = true })
+      socket?.once('end', () => this.probe(socket))
       callback(...args)
     })
   }
 
+  // The event loop reports data and a reset that arrive together as data and an end. A write tells them apart: it fails
+  // on a connection that was reset, and is dropped with one that has ended.
+  private probe (socket: net.Socket): void {
+    if (!this.endsAnswer) return
+    socket.write('\r\n')
+    if (socket.errored !== null) this.reset = true
+  }
+
   /** Whether a request may still be sent on this idle connection. */
   usable (once: boolean): boolean {
     const share = once ? IDLE_SHARE_ONCE : IDLE_SHARE
@@ -130,6 +144,7 @@
   onResponseStart (_controller: undici.Dispatcher.DispatchController, status: number, headers: types.AnswerHeaders): void {
     if (this.finished || status < 200) return
     this.mustClose = /\bclose\b/i.test(single(headers.connection) ?? '')
+    this.connection.endsAnswer = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
     this.idleMs = keepAliveMs(single(headers['keep-alive']))
     this.receiver.head(status, headers)
   }
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -65,6 +65,15 @@
     chai.expect(await send(pool, await server.listen())).to.include({ kind: 'fail', body: 'part of the body' })
   })
 
+  it('takes a reset that arrives together with the last bytes as a failure', async () => {
+    await using server = new ScriptedServer((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart of the body', () => socket.resetAndDestroy())
+    })
+    using pool = createPool()
+    const address = await server.listen()
+    for (let turn = 0; turn < 20; turn++) chai.expect((await send(pool, address)).kind).to.equal('fail')
+  })
+
   it('takes the end of the connection as the end of an answer without a length', async () => {
     await using server = new ScriptedServer((socket) => socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nwhole'))
     using pool = createPool()
