--- /dev/null
+++ b/test/forward/forwarder.test.ts
@@ -0,0 +1,179 @@
+import * as chai from 'chai'
+import type * as calls from '../../src/call/index.js'
+import type * as errors from '../../src/errors/index.js'
+import * as forward from '../../src/forward/index.js'
+import * as log from '../../src/log/index.js'
+import * as metrics from '../../src/metrics/index.js'
+import * as placement from '../../src/placement/index.js'
+import * as retry from '../../src/retry/index.js'
+import * as time from '../../src/time/index.js'
+import * as platformTarget from '../../platform/target-protocol.js'
+import * as build from '../support/gateway-builders.js'
+
+const STREAM = build.aRoute({ streams: true, repeat: 'resumable', patienceMs: 2_000 })
+const ONCE = build.aRoute({ repeat: 'once', maxTargets: 2 })
+
+function setUp (slack = 100) {
+  const virtual = new time.VirtualTime()
+  const env = virtual.env(1)
+  const upstream = new build.ScriptedUpstream()
+  const fleet = build.aFleet(virtual, [build.aTarget('a'), build.aTarget('b')])
+  const began: string[] = []
+  const budget = new retry.SharedBudget(virtual, { ratio: 0.2, slack, windowMs: 10_000 }, () => 1)
+  const placer = new placement.PlainPlacer(fleet, env, 'd1')
+  const forwarder = new forward.Forwarder({
+    env, upstream, protocol: new platformTarget.ServerHttp(), began: (call) => began.push(call.id), placerFor: () => placer, budgetFor: () => budget,
+    fleet, log: log.SILENT_LOGGER, metrics: new metrics.Metrics(), dropConnections: () => {}
+  })
+  const reply = new build.RecordedReply()
+  const left = new AbortController()
+  let outcome: errors.Refusal | undefined | 'open' = 'open'
+  const start = (call: calls.Call): void => { forwarder.forward(call, reply, left.signal).then((refusal) => { outcome = refusal }, (err: unknown) => { throw err }) }
+  return { virtual, upstream, fleet, reply, left, began, start, outcome: () => outcome }
+}
+
+function answer (seen: build.SeenSend, status: number, body: string, headers: Record<string, string> = {}): void {
+  seen.receiver.head(status, { 'request-id': 'c1', ...headers })
+  if (body !== '') seen.receiver.data(Buffer.from(body))
+  seen.receiver.end()
+}
+
+describe('Forwarder', () => {
+  it('delivers an answer as the target gave it', async () => {
+    const run = setUp()
+    run.start(build.aCall())
+    answer(run.upstream.sends[0]!, 500, 'boom')
+    await run.virtual.advance(1)
+    answer(run.upstream.sends[1]!, 200, 'good')
+    await run.virtual.advance(1)
+    chai.expect([run.reply.status, run.reply.text, run.reply.state]).to.deep.equal([200, 'good', 'ended'])
+  })
+
+  it('does not send a call that may run once again after its connection broke, and does not say that it has not run', async () => {
+    const run = setUp()
+    run.start(build.aCall({ route: ONCE }))
+    run.upstream.sends[0]!.receiver.fail({ written: true, message: 'reset' })
+    await run.virtual.advance(1)
+    chai.expect(run.upstream.sends).to.have.length(1)
+    chai.expect((run.outcome() as errors.Refusal).detail.ran).to.equal('maybe')
+  })
+
+  it('sends a call that may run once to another target when the first one states that it did not run it', async () => {
+    const run = setUp()
+    run.start(build.aCall({ route: ONCE }))
+    answer(run.upstream.sends[0]!, 503, '', { 'not-executed': '1' })
+    await run.virtual.advance(1)
+    chai.expect(run.upstream.sends).to.have.length(2)
+    answer(run.upstream.sends[1]!, 200, 'done')
+    await run.virtual.advance(1)
+    chai.expect(run.reply.status).to.equal(200)
+  })
+
+  it('does not pass on a 503 of a target that does not state that the call has not run', async () => {
+    const run = setUp()
+    run.start(build.aCall({ route: ONCE }))
+    answer(run.upstream.sends[0]!, 503, 'busy')
+    await run.virtual.advance(1)
+    chai.expect(run.reply.status).to.equal(502)
+  })
+
+  it('takes an answer with the id of another request as a failure', async () => {
+    const run = setUp()
+    run.start(build.aCall({ route: ONCE }))
+    run.upstream.sends[0]!.receiver.head(200, { 'request-id': 'other' })
+    await run.virtual.advance(1)
+    chai.expect(run.upstream.sends[0]!.aborted).to.equal(true)
+    chai.expect(run.reply.started).to.equal(false)
+  })
+
+  it('goes on with a broken stream after the last whole event, and passes no event twice', async () => {
+    const run = setUp()
+    run.start(build.aCall({ route: STREAM }))
+    const first = run.upstream.sends[0]!
+    first.receiver.head(200, { 'request-id': 'c1' })
+    first.receiver.data(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'))
+    first.receiver.fail({ written: true, message: 'reset' })
+    await run.virtual.advance(1)
+    const second = run.upstream.sends[1]!
+    chai.expect(second.req.headers.join(' ')).to.contain('last-event-id 1')
+    second.receiver.head(200, { 'request-id': 'c1' })
+    second.receiver.data(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: b\n\n'))
+    second.receiver.end()
+    await run.virtual.advance(1)
+    chai.expect(run.reply.text).to.equal('id: 1\ndata: a\n\nid: 2\ndata: b\n\n')
+    chai.expect(run.reply.state).to.equal('ended')
+    chai.expect(run.began).to.have.length(2)
+  })
+
+  it('cuts a stream that ends inside an event and cannot be resumed', async () => {
+    const run = setUp()
+    run.start(build.aCall({ route: { ...STREAM, repeat: 'once', maxTargets: 1 } }))
+    const seen = run.upstream.sends[0]!
+    seen.receiver.head(200, { 'request-id': 'c1' })
+    seen.receiver.data(Buffer.from('id: 1\ndata: a\n\nid: 2'))
+    seen.receiver.end()
+    await run.virtual.advance(1)
+    chai.expect(run.reply.state).to.equal('cut')
+  })
+
+  it('stops the target at once when the caller leaves', async () => {
+    const run = setUp()
+    run.start(build.aCall({ route: ONCE }))
+    run.left.abort()
+    await run.virtual.advance(1)
+    chai.expect(run.upstream.sends[0]!.aborted).to.equal(true)
+    chai.expect((run.outcome() as errors.Refusal).reason).to.equal('caller_disconnected')
+  })
+
+  it('ends a call at its deadline, with a status that promises nothing once it was sent', async () => {
+    const run = setUp()
+    run.start(build.aCall({ route: ONCE, deadlineAt: 1_200 }))
+    await run.virtual.advance(1_250)
+    const refusal = run.outcome() as errors.Refusal
+    chai.expect([refusal.reason, refusal.detail.ran]).to.deep.equal(['deadline_exceeded', 'maybe'])
+  })
+
+  it('sends no more repeats than the budget has', async () => {
+    const run = setUp(0)
+    run.start(build.aCall())
+    run.upstream.sends[0]!.receiver.fail({ written: true, message: 'reset' })
+    await run.virtual.advance(1)
+    chai.expect(run.upstream.sends).to.have.length(1)
+  })
+
+  it('leaves a target that is silent while the call may be repeated', async () => {
+    const run = setUp()
+    run.start(build.aCall())
+    await run.virtual.advance(400)
+    chai.expect(run.upstream.sends[0]!.aborted).to.equal(true)
+    chai.expect(run.upstream.sends).to.have.length(2)
+  })
+
+  it('checks again before each send whether the key still holds', async () => {
+    const run = setUp()
+    let withdrawn = false
+    const refusal = { reason: 'key_withdrawn' } as errors.Refusal
+    run.start(build.aCall({ route: ONCE, forbidden: () => withdrawn ? refusal : undefined }))
+    withdrawn = true
+    answer(run.upstream.sends[0]!, 503, '', { 'not-executed': '1' })
+    await run.virtual.advance(1)
+    chai.expect(run.upstream.sends).to.have.length(1)
+    chai.expect(run.outcome()).to.equal(refusal)
+  })
+})
+
+describe('EventSplitter', () => {
+  it('gives whole events only, however the bytes are cut', () => {
+    const text = 'id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n'
+    for (let size = 1; size < text.length; size++) {
+      const splitter = new forward.EventSplitter()
+      let got = ''
+      for (let at = 0; at < text.length; at += size) {
+        const batch = splitter.push(Buffer.from(text.slice(at, at + size)), undefined)
+        if (batch !== undefined) got += Buffer.from(batch.bytes).toString()
+      }
+      chai.expect(got).to.equal(text)
+      chai.expect(splitter.unfinished).to.equal(0)
+    }
+  })
+})
--- /dev/null
+++ b/test/support/gateway-builders.ts
@@ -0,0 +1,100 @@
+/** Builders of calls, routes and targets for tests of the gateway's parts. */
+import type * as calls from '../../src/call/index.js'
+import * as fleet from '../../src/fleet/index.js'
+import * as log from '../../src/log/index.js'
+import type * as serving from '../../src/serving/index.js'
+import type * as time from '../../src/time/index.js'
+import type * as upstream from '../../src/upstream/index.js'
+
+export function aRoute (over: Partial<serving.ServingRoute> = {}): serving.ServingRoute {
+  return {
+    name: 'r', host: 'h', path: '/a/', repeat: 'repeatable', streams: false, timeoutMs: 5_000, aimMs: 200, patienceMs: 5_000, rank: 2,
+    shares: [{ service: 's', weight: 1 }], maxTargets: 2, open: false, ...over
+  }
+}
+
+export function aService (over: Partial<serving.ServingService> = {}): serving.ServingService {
+  return { name: 's', maxConnections: 100, ...over }
+}
+
+export function aConfig (over: Partial<serving.ServingConfig> = {}): serving.ServingConfig {
+  return {
+    version: 1,
+    routes: [aRoute()],
+    services: new Map([['s', aService()]]),
+    limits: { headerBytes: 16_384, bodyBytes: 65_536, headerMs: 3_000, idleMs: 15_000 },
+    accounts: [{ name: 'acc', keys: ['k1'] }],
+    ...over
+  }
+}
+
+export function aTarget (id: string, over: Partial<serving.TargetRecord> = {}): serving.TargetRecord {
+  return { id, service: 's', address: `10.0.0.1:${id.length}${id.charCodeAt(0)}`, domain: 'd1', slots: 4, leaving: false, preemptible: false, startedAt: 1, ...over }
+}
+
+export function aCall (over: Partial<calls.Call> = {}): calls.Call {
+  return {
+    id: 'c1', method: 'POST', path: '/a/x', headers: [], body: new Uint8Array(0), route: aRoute(), service: aService(), account: 'acc', rank: 2,
+    arrivedAt: 0, deadlineAt: 5_000, forbidden: () => undefined, ...over
+  }
+}
+
+export function aFleet (clock: time.Clock, records: readonly serving.TargetRecord[]): fleet.Fleet {
+  const one = new fleet.Fleet({ clock, log: log.SILENT_LOGGER, onGone: () => {} })
+  one.apply(records)
+  return one
+}
+
+/** A reply that remembers what it was told. */
+export class RecordedReply implements calls.Reply {
+  started = false
+  status: number | undefined
+  text = ''
+  state: 'open' | 'ended' | 'cut' = 'open'
+
+  whole (head: calls.AnswerHead, body: Uint8Array): void {
+    this.start(head)
+    this.write(body)
+    this.end()
+  }
+
+  start (head: calls.AnswerHead): void {
+    this.started = true
+    this.status = head.status
+  }
+
+  write (chunk: Uint8Array): boolean {
+    this.text += Buffer.from(chunk).toString()
+    return true
+  }
+
+  end (): void {
+    this.state = 'ended'
+  }
+
+  cut (): void {
+    this.state = 'cut'
+  }
+
+  onDrain (fn: () => void): void {
+    fn()
+  }
+}
+
+/** A send as a scripted upstream saw it. */
+export interface SeenSend {
+  readonly req: upstream.SendReq
+  readonly receiver: upstream.Receiver
+  aborted: boolean
+}
+
+/** An upstream whose answers the test gives. */
+export class ScriptedUpstream implements upstream.Upstream {
+  readonly sends: SeenSend[] = []
+
+  send (req: upstream.SendReq, receiver: upstream.Receiver): upstream.Sending {
+    const seen: SeenSend = { req, receiver, aborted: false }
+    this.sends.push(seen)
+    return { written: true, abort: () => { seen.aborted = true }, pause: () => {}, resume: () => {} }
+  }
+}
