--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -74,6 +74,8 @@
 
   private update (record: serving.TargetRecord): void {
     const state = this.targets.get(record.id)
+    // An entry of an earlier start was written late.
+    if (state !== undefined && record.startedAt < state.record.startedAt) return
     if (state === undefined || isRestart(state.record, record)) {
       if (state !== undefined) this.remove(state)
       this.targets.set(record.id, new targetState.TargetState(record, this.peers))
--- a/src/log/index.ts
+++ b/src/log/index.ts
@@ -2,3 +2,4 @@
 export { createLogger, SILENT_LOGGER, type Logger } from './logger.js'
 export { formatRecord, KeyValueStream, type LogRecord } from './key-value.js'
 export { BoundedWriter, type BoundedWriterParts } from './bounded-writer.js'
+export { LimitedLogger } from './limited-logger.js'
--- a/test/forward/forwarder.test.ts
+++ b/test/forward/forwarder.test.ts
@@ -22,8 +22,16 @@
   const budget = new retry.SharedBudget(virtual, { ratio: 0.2, slack, windowMs: 10_000 }, () => 1)
   const placer = new placement.PlainPlacer(fleet, env, 'd1')
   const forwarder = new forward.Forwarder({
-    env, upstream, protocol: new platformTarget.ServerHttp(), began: (call) => began.push(call.id), placerFor: () => placer, budgetFor: () => budget,
-    fleet, log: log.SILENT_LOGGER, metrics: new metrics.Metrics(), dropConnections: () => {}
+    env,
+    upstream,
+    protocol: new platformTarget.ServerHttp(),
+    began: (call) => began.push(call.id),
+    placerFor: () => placer,
+    budgetFor: () => budget,
+    fleet,
+    log: log.SILENT_LOGGER,
+    metrics: new metrics.Metrics(),
+    dropConnections: () => {}
   })
   const reply = new build.RecordedReply()
   const left = new AbortController()
--- /dev/null
+++ b/test/placement/placers.test.ts
@@ -0,0 +1,84 @@
+import * as chai from 'chai'
+import type * as calls from '../../src/call/index.js'
+import * as placement from '../../src/placement/index.js'
+import * as time from '../../src/time/index.js'
+import * as build from '../support/gateway-builders.js'
+
+const ENGINE = build.aService({ engine: { slots: 128, memoryTokens: 1_000_000 } })
+const ROUTE = build.aRoute({ streams: true, aimMs: 300, patienceMs: 2_000 })
+
+function aModelCall (shared: string, own: string, tokens = 3_000, rank = 1): calls.Call {
+  const parts = [{ id: shared, tokens: 10_000 }, { id: own, tokens }]
+  return build.aCall({ route: ROUTE, service: ENGINE, rank, prompt: { promptTokens: 10_000 + tokens, outputTokens: 50, parts } })
+}
+
+function setUp () {
+  const virtual = new time.VirtualTime()
+  const records = [
+    build.aTarget('p1', { stage: 'prefill' }), build.aTarget('p2', { stage: 'prefill', domain: 'd2' }),
+    build.aTarget('e1', { stage: 'decode' }), build.aTarget('e2', { stage: 'decode', domain: 'd2' })
+  ]
+  const fleet = build.aFleet(virtual, records)
+  const placer = new placement.EnginePlacer(fleet, virtual.env(1), 'd1')
+  const state = (id: string) => fleet.ofService('s').find((one) => one.record.id === id)!
+  return { virtual, fleet, placer, state }
+}
+
+describe('EnginePlacer', () => {
+  it('reads a shared part where it is kept', () => {
+    const { placer, state } = setUp()
+    for (const id of ['p1', 'p2', 'e1', 'e2']) {
+      const call = aModelCall(`shared-${id}`, 'own')
+      state(id).cache.stated(`shared-${id}`, 10_000)
+      const placed = placer.place(call, new Set())!
+      chai.expect((placed.reader ?? placed.target).record.id).to.equal(id)
+    }
+  })
+
+  it('leaves the home of a part when its backlog costs more than to read the part again', () => {
+    const { placer, state } = setUp()
+    state('p1').cache.stated('s', 10_000)
+    state('p1').unread.add(0, 200_000)
+    const placed = placer.place(aModelCall('s', 'own'), new Set())!
+    chai.expect((placed.reader ?? placed.target).record.id).not.to.equal('p1')
+  })
+
+  it('sends a call that cannot be in time under a later rank, and one that can under its own', () => {
+    const { placer, state } = setUp()
+    chai.expect(placer.place(aModelCall('s', 'own'), new Set())!.rank).to.equal(1)
+    for (const id of ['p1', 'p2', 'e1', 'e2']) state(id).unread.add(1, 100_000)
+    chai.expect(placer.place(aModelCall('s', 'own'), new Set())!.rank).to.equal(6)
+    chai.expect(placer.place(aModelCall('s', 'own', 1_000, 0), new Set())!.rank).to.equal(0)
+  })
+
+  it('takes no reader whose last hand-over failed just now, and no target that is leaving', () => {
+    const { fleet, placer, state } = setUp()
+    state('p1').handOverFailedAt = 0
+    state('p2').handOverFailedAt = 0
+    chai.expect(placer.place(aModelCall('s', 'own'), new Set())!.reader).to.equal(undefined)
+    fleet.apply([build.aTarget('e1', { stage: 'decode', leaving: true }), build.aTarget('e2', { stage: 'decode' })])
+    chai.expect(placer.place(aModelCall('s', 'own'), new Set())!.target.record.id).to.equal('e2')
+  })
+
+  it('finds the same home for a part at every gateway', () => {
+    const homes = [1, 2, 3].map(() => {
+      const { placer } = setUp()
+      const placed = placer.place(aModelCall('part', 'own'), new Set())!
+      return (placed.reader ?? placed.target).record.id
+    })
+    chai.expect(new Set(homes).size).to.equal(1)
+  })
+})
+
+describe('PlainPlacer', () => {
+  it('prefers the idle target, and avoids one that fails part of its calls though it looks idle', () => {
+    const virtual = new time.VirtualTime()
+    const fleet = build.aFleet(virtual, [build.aTarget('a'), build.aTarget('b')])
+    const placer = new placement.PlainPlacer(fleet, virtual.env(1), 'd1')
+    const [a, b] = fleet.ofService('s')
+    a!.running = 3
+    chai.expect(placer.place(build.aCall(), new Set())!.target).to.equal(b)
+    for (let turn = 0; turn < 6; turn++) b!.failures.record(turn % 2 === 0 ? 'broken' : 'ok', 0, 0)
+    chai.expect(placer.place(build.aCall(), new Set())!.target).to.equal(a)
+  })
+})
--- a/test/support/gateway-builders.ts
+++ b/test/support/gateway-builders.ts
@@ -8,8 +8,19 @@
 
 export function aRoute (over: Partial<serving.ServingRoute> = {}): serving.ServingRoute {
   return {
-    name: 'r', host: 'h', path: '/a/', repeat: 'repeatable', streams: false, timeoutMs: 5_000, aimMs: 200, patienceMs: 5_000, rank: 2,
-    shares: [{ service: 's', weight: 1 }], maxTargets: 2, open: false, ...over
+    name: 'r',
+    host: 'h',
+    path: '/a/',
+    repeat: 'repeatable',
+    streams: false,
+    timeoutMs: 5_000,
+    aimMs: 200,
+    patienceMs: 5_000,
+    rank: 2,
+    shares: [{ service: 's', weight: 1 }],
+    maxTargets: 2,
+    open: false,
+    ...over
   }
 }
 
@@ -34,8 +45,19 @@
 
 export function aCall (over: Partial<calls.Call> = {}): calls.Call {
   return {
-    id: 'c1', method: 'POST', path: '/a/x', headers: [], body: new Uint8Array(0), route: aRoute(), service: aService(), account: 'acc', rank: 2,
-    arrivedAt: 0, deadlineAt: 5_000, forbidden: () => undefined, ...over
+    id: 'c1',
+    method: 'POST',
+    path: '/a/x',
+    headers: [],
+    body: new Uint8Array(0),
+    route: aRoute(),
+    service: aService(),
+    account: 'acc',
+    rank: 2,
+    arrivedAt: 0,
+    deadlineAt: 5_000,
+    forbidden: () => undefined,
+    ...over
   }
 }
 
