--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -77,7 +77,7 @@
       const placed = this.place()
       if (placed === undefined) return this.giveUp('no_target')
       if (placed.expectedMs > this.servableMs) return this.giveUp('deadline_unreachable')
-      if (!this.mayArrive()) return this.giveUp('retry_budget_exhausted')
+      if (!this.mayArrive()) return this.giveUp(this.mayHaveRun ? 'target_failed' : 'retry_budget_exhausted')
       const done = await this.attemptAt(placed)
       if (done) return undefined
     }
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -69,7 +69,7 @@
 }
 
 /** The parts of a running gateway. */
-export class GatewayNode {
+export class GatewayNode implements AsyncDisposable {
   private readonly elapsed: serving.ElapsedClock
   private readonly feed: serving.ConfigFeed
   private readonly fleet: fleet.Fleet
@@ -149,10 +149,17 @@
     this.front.stopListening()
     while (this.front.busy > 0 && env.clock.now() < endAt - HAND_BACK_MS) await time.delay(env.timers, IDLE_LOOK_MS)
     await time.withDeadline(env.timers, HAND_BACK_MS, this.ledger[Symbol.asyncDispose](), () => undefined)
-    this.feed[Symbol.dispose]()
-    this.fleetFeed[Symbol.dispose]()
-    this.cacheFeed[Symbol.dispose]()
-    this.pool[Symbol.dispose]()
+  }
+
+  /** Closes all sockets and ends all tasks at once. */
+  async [Symbol.asyncDispose] (): Promise<void> {
+    const { env } = this.parts
+    this.stopAt ??= env.clock.now()
+    for (const task of [this.closer, this.orders, this.feed, this.fleetFeed, this.cacheFeed, this.pool]) task[Symbol.dispose]()
+    await time.withDeadline(env.timers, HAND_BACK_MS, this.handBack(), () => undefined)
+    await this.ledger[Symbol.asyncDispose]()
+    await this.front[Symbol.asyncDispose]()
+    await this.peers[Symbol.asyncDispose]()
   }
 
   private async handBack (): Promise<void> {
--- /dev/null
+++ b/test/gateway/end-to-end.test.ts
@@ -0,0 +1,85 @@
+import type * as http from 'node:http'
+import * as chai from 'chai'
+import * as time from '../../src/time/index.js'
+import * as support from '../support/gateway-process.js'
+
+/** Answers with the id of the request and a stamp. */
+function answer (req: http.IncomingMessage, res: http.ServerResponse, status: number, headers: Record<string, string> = {}, body = ''): void {
+  req.resume()
+  req.on('end', () => {
+    res.writeHead(status, { 'request-id': req.headers['request-id'] ?? '', 'response-stamp': 's1', ...headers })
+    res.end(body)
+  })
+}
+
+describe('a gateway on the platform', () => {
+  it('forwards a call unchanged, names the account instead of the key, and returns the answer unchanged', async () => {
+    await using gw = new support.GatewayProcess()
+    let seen: http.IncomingMessage | undefined
+    await gw.addServer('i-1', (req, res) => { seen = req; answer(req, res, 200, { 'x-own': '7' }, 'done') })
+    await gw.start()
+    const res = await gw.request('r1', { path: '/r/x?y=1', headers: { tenant: 'forged', 'x-any': 'kept' } })
+    chai.expect([res.status, res.body, res.headers['response-stamp'], res.headers['x-own']]).to.deep.equal([200, 'done', 's1', '7'])
+    chai.expect(seen!.headers).to.include({ tenant: 'acc', 'expect-instance': 'i-1', 'x-any': 'kept', host: 'ledger.example' })
+    chai.expect(seen!.headers.authorization).to.equal(undefined)
+    chai.expect(seen!.url).to.equal('/r/x?y=1')
+  })
+
+  it('turns away bodies beyond the configured limit', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', (req, res) => answer(req, res, 200))
+    await gw.start()
+    chai.expect((await gw.request('r1', { body: 'x'.repeat(1_001) })).status).to.equal(413)
+  })
+
+  it('stops without cutting a call that was read, and says that it closes the connection', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', (req, res) => { setTimeout(() => answer(req, res, 200, {}, 'late'), 250) })
+    await gw.start()
+    const running = gw.request('r1')
+    await time.delay(new time.SystemTimers(), 50)
+    const stopped = gw.stop()
+    const during = gw.request('r2')
+    chai.expect((await running).body).to.equal('late')
+    chai.expect((await during).headers.connection).to.equal('close')
+    await stopped
+  }).timeout(15_000)
+})
+
+// docs/OPERATIONS.md leads from the id of a failed request to its cause by these lines.
+describe('log lines of a failed request', () => {
+  it('show a request that was refused because no target could take it', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', (req, res) => answer(req, res, 503, { 'not-executed': '1' }))
+    await gw.start()
+    const res = await gw.request('r1')
+    chai.expect(res.status).to.equal(503)
+    chai.expect(Number(res.headers['retry-after'])).to.be.greaterThan(0)
+    const text = gw.linesOf('r1').join('\n')
+    chai.expect(text).to.match(/event=attempt_ended .*target=i-1 .*kind=not_run/)
+    chai.expect(text).to.match(/event=call_refused .*status=503 .*ran=no/)
+  })
+
+  it('show a request that may have run and whose answer was lost', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', (req, res) => { req.on('end', () => req.socket.destroy()); req.resume(); res.on('error', () => {}) })
+    await gw.start()
+    chai.expect((await gw.request('r2')).status).to.equal(502)
+    const text = gw.linesOf('r2').join('\n')
+    chai.expect(text).to.match(/event=attempt_failed .*target=i-1 .*kind=failed reason=/)
+    chai.expect(text).to.match(/event=call_refused .*status=502 .*ran=maybe/)
+  })
+
+  it('show a request that was refused because keys could not be proved current', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', (req, res) => answer(req, res, 200))
+    await gw.start()
+    gw.store.faults.down = true
+    await time.delay(new time.SystemTimers(), 4_700)
+    chai.expect((await gw.request('r3')).status).to.equal(503)
+    chai.expect(gw.linesOf('r3').join('\n')).to.match(/event=call_refused .*reason=key_state_unknown ran=no/)
+    chai.expect(gw.lines.join('\n')).to.match(/event=dependency_lost .*dependency=config/)
+    chai.expect(gw.metrics.render()).to.contain('godwitpoint_refusals_total{reason="key_state_unknown"')
+    chai.expect(gw.lines.join('\n')).not.to.contain('key1')
+  }).timeout(15_000)
+})
--- /dev/null
+++ b/test/support/gateway-process.ts
@@ -0,0 +1,124 @@
+/** A whole gateway with the platform's adapter on loopback: a store in memory, and servers that answer by script. */
+import * as http from 'node:http'
+import type * as net from 'node:net'
+import type * as duties from '../../src/duties/index.js'
+import * as errors from '../../src/errors/index.js'
+import * as gateway from '../../src/gateway/index.js'
+import * as log from '../../src/log/index.js'
+import * as metrics from '../../src/metrics/index.js'
+import * as standin from '../../src/standin/index.js'
+import * as time from '../../src/time/index.js'
+import * as callerProtocol from '../../platform/caller-protocol.js'
+import * as servingConfig from '../../platform/serving-config.js'
+import * as targetEntry from '../../platform/target-entry.js'
+import * as targetProtocol from '../../platform/target-protocol.js'
+
+const HOST = '127.0.0.1'
+
+/** A platform configuration with one plain service and one route. */
+export const CONFIG = {
+  version: 1,
+  routes: [{ name: 'record', host: 'ledger.example', pathPrefix: '/r/', kind: 'unsafe', timeoutMs: 400, sloMs: 150, priority: 1, service: 'ledger', maxAttempts: 1, public: false }],
+  services: [{ name: 'ledger', maxConns: 50 }],
+  limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
+  tenants: [{ name: 'acc', apiKeys: ['key1'] }]
+}
+
+const NO_DUTIES: duties.DutyCalls = {
+  reportUsage: async () => errors.Ok(undefined),
+  orderTargets: async () => errors.Ok(undefined)
+}
+
+/** A running gateway. */
+export class GatewayProcess implements AsyncDisposable {
+  readonly lines: string[] = []
+  readonly metrics = new metrics.Metrics()
+  readonly store = new standin.MemoryStore(new time.SystemTimers())
+  private node: gateway.GatewayNode | undefined
+  private readonly servers: http.Server[] = []
+  private port = 0
+
+  /** Starts a server of the plain service and lists it. */
+  async addServer (id: string, handler: http.RequestListener): Promise<void> {
+    const server = http.createServer(handler)
+    this.servers.push(server)
+    await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
+    const address = `${HOST}:${(server.address() as net.AddressInfo).port}`
+    await this.store.put(`servers/${id}`, JSON.stringify({ service: 'ledger', address, zone: 'z', slots: 4, state: 'ready', seq: 1 }), 'absent')
+  }
+
+  /** Starts the gateway and waits until it is ready. */
+  async start (config: object = CONFIG): Promise<void> {
+    await this.store.put(servingConfig.CONFIG_KEY, JSON.stringify(config), 'absent')
+    const ports = await freePorts(2)
+    this.port = ports[0]!
+    const out = { write: (line: string) => this.lines.push(line.trim()) > 0 }
+    this.node = new gateway.GatewayNode({
+      settings: {
+        name: 'g1',
+        incarnation: 'i1',
+        domain: 'z',
+        domains: ['z'],
+        frontHost: HOST,
+        frontPort: this.port,
+        peerHost: HOST,
+        peerPort: ports[1]!,
+        bounds: { keyMs: 5_000, configMs: 2_000, repeats: { ratio: 0.2, slack: 50, windowMs: 10_000 }, graceMs: 8_000, turnMs: 3_000, usageWindowMs: 5_000 }
+      },
+      env: time.systemEnv(),
+      store: this.store,
+      callerProtocol: new callerProtocol.CallerHttp(),
+      targetProtocol: new targetProtocol.ServerHttp(),
+      dutyCalls: NO_DUTIES,
+      config: { key: servingConfig.CONFIG_KEY, decode: servingConfig.decodeConfig },
+      targets: { prefix: targetEntry.TARGETS_PREFIX, decode: targetEntry.decodeTarget },
+      log: log.createLogger('gateway', 'info', out as never),
+      metrics: this.metrics
+    })
+    await this.node.start()
+    while (!this.node.ready) await time.delay(new time.SystemTimers(), 10)
+  }
+
+  /** Sends a request and reads its whole answer. */
+  async request (id: string, over: { path?: string, key?: string, body?: string, headers?: Record<string, string> } = {}): Promise<{ status: number, headers: http.IncomingHttpHeaders, body: string }> {
+    return await new Promise((resolve, reject) => {
+      const headers = { host: 'ledger.example', 'request-id': id, authorization: `Token ${over.key ?? 'key1'}`, 'deadline-ms': '2500', ...over.headers }
+      const req = http.request({ host: HOST, port: this.port, method: 'POST', path: over.path ?? '/r/x', headers, agent: false }, (res) => {
+        let body = ''
+        res.on('data', (data: Buffer) => { body += data.toString() })
+        res.on('end', () => resolve({ status: res.statusCode!, headers: res.headers, body }))
+        res.on('error', reject)
+      })
+      req.on('error', reject)
+      req.end(over.body ?? 'b')
+    })
+  }
+
+  /** Log lines that name a request. */
+  linesOf (id: string): string[] {
+    return this.lines.filter((line) => line.includes(`id=${id}`))
+  }
+
+  async stop (): Promise<void> {
+    await this.node?.stop()
+  }
+
+  async [Symbol.asyncDispose] (): Promise<void> {
+    await this.node?.[Symbol.asyncDispose]()
+    for (const server of this.servers) {
+      server.closeAllConnections()
+      await new Promise<void>((resolve) => { server.close(() => resolve()) })
+    }
+  }
+}
+
+async function freePorts (count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => http.createServer())
+  const ports: number[] = []
+  for (const server of servers) {
+    await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
+    ports.push((server.address() as net.AddressInfo).port)
+  }
+  for (const server of servers) await new Promise<void>((resolve) => { server.close(() => resolve()) })
+  return ports
+}
