--- a/src/gateway/http-front.ts
+++ b/src/gateway/http-front.ts
@@ -20,6 +20,13 @@
 /** Callers' connections waiting to be accepted. */
 const BACKLOG = 1_024
 
+/** Requests under way, and bytes of their bodies, beyond which new ones are refused: memory and descriptors are bounded. */
+const MAX_ACTIVE = 1_500
+const MAX_BODY_BYTES = 64 * 1024 * 1024
+
+/** Time after which a caller that was refused for that may come back, in ms. */
+const FULL_RETRY_MS = 300
+
 /** Status of a refusal when the call may have run: such an answer promises nothing. */
 const MAYBE_RAN_STATUS = 502
 const TIMEOUT_STATUS = 504
@@ -39,6 +46,7 @@
   private readonly server: http.Server
   private closing = false
   private active = 0
+  private bodyBytes = 0
 
   constructor (private readonly parts: FrontParts) {
     this.server = http.createServer({
@@ -92,14 +100,19 @@
 
   private async serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const left = new AbortController()
+    let held = 0
     res.on('close', () => { if (!res.writableFinished) left.abort() })
     this.active++
     try {
-      const body = await this.readBody(req, res)
+      const full = this.active > MAX_ACTIVE || this.bodyBytes > MAX_BODY_BYTES
+      const body = full ? new errors.Refusal('entry_queue_full', { step: 'parse', ran: 'no', retryAfterMs: FULL_RETRY_MS }) : await this.readBody(req, res)
+      if (body instanceof Uint8Array) held = body.length
+      this.bodyBytes += held
       if (body instanceof errors.Refusal) this.refuse(req, res, body)
       else if (body !== undefined) await this.answer(req, res, body, left.signal)
     } finally {
       this.active--
+      this.bodyBytes -= held
     }
   }
 
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -184,8 +184,9 @@
 
   private createGateway (): gateway.Gateway {
     const { env, settings, targetProtocol, log, metrics } = this.parts
-    const plain = new placement.PlainPlacer(this.fleet, env, settings.domain)
-    const engines = new placement.EnginePlacer(this.fleet, env, settings.domain)
+    const gateways = (): number => this.directory.size
+    const plain = new placement.PlainPlacer(this.fleet, env, settings.domain, gateways)
+    const engines = new placement.EnginePlacer(this.fleet, env, settings.domain, gateways)
     const forwarder = new forward.Forwarder({
       env,
       upstream: this.pool,
--- a/src/placement/engine-placer.ts
+++ b/src/placement/engine-placer.ts
@@ -6,6 +6,7 @@
 import type * as calls from '../call/index.js'
 import * as hash from '../hash/index.js'
 import type * as time from '../time/index.js'
+import * as share from './connection-share.js'
 import type * as types from './types.js'
 
 /** Prompt tokens that an engine reads in a ms: one that only reads, and one that also generates. */
@@ -48,12 +49,13 @@
 
 /** Places model calls by what targets keep, their backlog, recent failures and distance. */
 export class EnginePlacer implements types.Placer {
-  constructor (private readonly fleet: fleet.Fleet, private readonly env: time.Env, private readonly domain: string) {}
+  constructor (private readonly fleet: fleet.Fleet, private readonly env: time.Env, private readonly domain: string, private readonly gateways: () => number) {}
 
   // A call that cannot be in time is sent under a later rank: it delays none that can, and runs when there is room.
   place (call: calls.Call, tried: ReadonlySet<string>): types.Placement | undefined {
     const now = this.env.clock.now()
-    const states = this.fleet.ofService(call.service.name).filter((state) => !tried.has(state.record.id) && state.accepts(now))
+    const most = share.connectionShare(call.service, this.gateways())
+    const states = this.fleet.ofService(call.service.name).filter((state) => !tried.has(state.record.id) && state.accepts(now) && state.running < most)
     const ranked = rankByHome(homeKey(call), states)
     const inTime = this.best(call, ranked, call.rank, now)
     if (inTime === undefined || inTime.expectedMs + now - call.arrivedAt <= call.route.aimMs * IN_TIME_FACTOR) return inTime
--- a/src/placement/plain-placer.ts
+++ b/src/placement/plain-placer.ts
@@ -5,6 +5,7 @@
 import type * as fleet from '../fleet/index.js'
 import type * as calls from '../call/index.js'
 import type * as time from '../time/index.js'
+import * as share from './connection-share.js'
 import type * as types from './types.js'
 
 /** Expected time of a call on an idle target, in ms; orders targets only. */
@@ -18,14 +19,15 @@
 
 /** Places plain calls by load, recent failures and distance. */
 export class PlainPlacer implements types.Placer {
-  constructor (private readonly fleet: fleet.Fleet, private readonly env: time.Env, private readonly domain: string) {}
+  constructor (private readonly fleet: fleet.Fleet, private readonly env: time.Env, private readonly domain: string, private readonly gateways: () => number) {}
 
   place (call: calls.Call, tried: ReadonlySet<string>): types.Placement | undefined {
     const now = this.env.clock.now()
+    const most = share.connectionShare(call.service, this.gateways())
     let best: fleet.TargetState | undefined
     let lowest = Infinity
     for (const state of this.fleet.ofService(call.service.name)) {
-      if (tried.has(state.record.id) || !state.accepts(now)) continue
+      if (tried.has(state.record.id) || !state.accepts(now) || state.running >= most) continue
       const cost = this.cost(state, now)
       if (cost >= lowest) continue
       lowest = cost
--- a/test/forward/forwarder.test.ts
+++ b/test/forward/forwarder.test.ts
@@ -20,7 +20,7 @@
   const fleet = build.aFleet(virtual, [build.aTarget('a'), build.aTarget('b')])
   const began: string[] = []
   const budget = new retry.SharedBudget(virtual, { ratio: 0.2, slack, windowMs: 10_000 }, () => 1)
-  const placer = new placement.PlainPlacer(fleet, env, 'd1')
+  const placer = new placement.PlainPlacer(fleet, env, 'd1', () => 1)
   const forwarder = new forward.Forwarder({
     env,
     upstream,
--- a/test/placement/placers.test.ts
+++ b/test/placement/placers.test.ts
@@ -19,7 +19,7 @@
     build.aTarget('e1', { stage: 'decode' }), build.aTarget('e2', { stage: 'decode', domain: 'd2' })
   ]
   const fleet = build.aFleet(virtual, records)
-  const placer = new placement.EnginePlacer(fleet, virtual.env(1), 'd1')
+  const placer = new placement.EnginePlacer(fleet, virtual.env(1), 'd1', () => 4)
   const state = (id: string) => fleet.ofService('s').find((one) => one.record.id === id)!
   return { virtual, fleet, placer, state }
 }
@@ -71,10 +71,21 @@
 })
 
 describe('PlainPlacer', () => {
+  it('puts no more calls on a target than its share of the connections that the target accepts', () => {
+    const virtual = new time.VirtualTime()
+    const fleet = build.aFleet(virtual, [build.aTarget('a')])
+    const placer = new placement.PlainPlacer(fleet, virtual.env(1), 'd1', () => 4)
+    const call = build.aCall({ service: build.aService({ maxConnections: 100 }) })
+    fleet.ofService('s')[0]!.running = 19
+    chai.expect(placer.place(call, new Set())).not.to.equal(undefined)
+    fleet.ofService('s')[0]!.running = 20
+    chai.expect(placer.place(call, new Set())).to.equal(undefined)
+  })
+
   it('prefers the idle target, and avoids one that fails part of its calls though it looks idle', () => {
     const virtual = new time.VirtualTime()
     const fleet = build.aFleet(virtual, [build.aTarget('a'), build.aTarget('b')])
-    const placer = new placement.PlainPlacer(fleet, virtual.env(1), 'd1')
+    const placer = new placement.PlainPlacer(fleet, virtual.env(1), 'd1', () => 4)
     const [a, b] = fleet.ofService('s')
     a!.running = 3
     chai.expect(placer.place(build.aCall(), new Set())!.target).to.equal(b)
