--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -6,3 +6,4 @@
 export { ShareHome } from './share-home.js'
 export { SHARE_METHOD, ShareAnswer, ShareReport } from './share-wire.js'
 export { divideSlots, type SlotClaim, type SlotDivision } from './water-filling.js'
+export { AccountWork } from './account-work.js'
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -12,7 +12,7 @@
 /** Least time in which a target can answer, in ms; with less left nothing is sent. */
 const MIN_SEND_MS = 15
 
-/** Shortest and longest time after which a caller is told to come back, in ms. */
+/** Shortest and longest time after which a caller is told to come back, in ms; spread, so that callers do not return together. */
 const RETRY_AFTER_MIN_MS = 150
 const RETRY_AFTER_MAX_MS = 500
 
@@ -76,7 +76,8 @@
       if (stop !== undefined) return stop
       const placed = this.place()
       if (placed === undefined) return this.giveUp('no_target')
-      if (placed.expectedMs > this.servableMs) return this.giveUp('deadline_unreachable')
+      const lateMs = placed.expectedMs - this.servableMs
+      if (lateMs > 0) return this.giveUp('deadline_unreachable', lateMs)
       if (!this.mayArrive()) return this.giveUp(this.mayHaveRun ? 'target_failed' : 'retry_budget_exhausted')
       const done = await this.attemptAt(placed)
       if (done) return undefined
@@ -253,7 +254,7 @@
   }
 
   /** Ends the call without an answer of its own: with a failed one, a broken stream, or a refusal. */
-  private giveUp (reason: errors.RefusalReason): errors.Refusal | undefined {
+  private giveUp (reason: errors.RefusalReason, lateMs = 0): errors.Refusal | undefined {
     if (this.reply.started) {
       this.reply.cut()
       return undefined
@@ -268,7 +269,7 @@
       step: 'route',
       ran,
       ...(this.lastMessage === '' ? {} : { message: this.lastMessage }),
-      ...(ran === 'no' ? { retryAfterMs: RETRY_AFTER_MIN_MS + spread * this.parts.env.random.next() } : {})
+      ...(ran === 'no' ? { retryAfterMs: RETRY_AFTER_MIN_MS + lateMs + spread * this.parts.env.random.next() } : {})
     })
   }
 
--- a/src/placement/engine-placer.ts
+++ b/src/placement/engine-placer.ts
@@ -3,6 +3,7 @@
  * read best where it is kept, so each part has the same home for all gateways, and spills when its home has a backlog.
  */
 import * as fleet from '../fleet/index.js'
+import * as admission from '../admission/index.js'
 import type * as calls from '../call/index.js'
 import * as hash from '../hash/index.js'
 import type * as time from '../time/index.js'
@@ -19,6 +20,9 @@
 /** A call is sent under its own rank up to this much more than the time that counts as in time. */
 const IN_TIME_FACTOR = 1.1
 
+/** Expected times above this part of the time that counts as in time show that engines are busy. */
+const BUSY_FACTOR = 0.7
+
 /** Time to fetch a cache from another engine, in ms. */
 const MOVE_MS = 10
 
@@ -45,11 +49,17 @@
 
 interface Candidate extends types.Placement {
   readonly cost: number
+  /** Prompt tokens to be read. */
+  readonly unread: number
 }
 
 /** Places model calls by what targets keep, their backlog, recent failures and distance. */
 export class EnginePlacer implements types.Placer {
-  constructor (private readonly fleet: fleet.Fleet, private readonly env: time.Env, private readonly domain: string, private readonly gateways: () => number) {}
+  private readonly accounts: admission.AccountWork
+
+  constructor (private readonly fleet: fleet.Fleet, private readonly env: time.Env, private readonly domain: string, private readonly gateways: () => number) {
+    this.accounts = new admission.AccountWork(env.clock)
+  }
 
   // A call that cannot be in time is sent under a later rank: it delays none that can, and runs when there is room.
   place (call: calls.Call, tried: ReadonlySet<string>): types.Placement | undefined {
@@ -58,8 +68,17 @@
     const states = this.fleet.ofService(call.service.name).filter((state) => !tried.has(state.record.id) && state.accepts(now) && state.running < most)
     const ranked = rankByHome(homeKey(call), states)
     const inTime = this.best(call, ranked, call.rank, now)
-    if (inTime === undefined || inTime.expectedMs + now - call.arrivedAt <= call.route.aimMs * IN_TIME_FACTOR) return inTime
-    return this.best(call, ranked, fleet.lateRank(call.rank), now)
+    if (inTime === undefined) return undefined
+    const placed = this.waits(call, inTime.expectedMs + now - call.arrivedAt) ? this.best(call, ranked, fleet.lateRank(call.rank), now) : inTime
+    if (tried.size === 0 && call.account !== undefined) this.accounts.add(call.account, placed?.unread ?? 0)
+    return placed
+  }
+
+  // While engines are busy, what an account asks for beyond its share waits too.
+  private waits (call: calls.Call, expectedMs: number): boolean {
+    const { aimMs } = call.route
+    if (expectedMs > aimMs * IN_TIME_FACTOR) return true
+    return expectedMs > aimMs * BUSY_FACTOR && call.account !== undefined && this.accounts.exceedsShare(call.account)
   }
 
   private best (call: calls.Call, ranked: readonly fleet.TargetState[], rank: number, now: number): Candidate | undefined {
@@ -88,6 +107,7 @@
       target,
       reader: reads ? state : undefined,
       rank,
+      unread,
       expectedMs: waitMs + readMs + runMs + FIRST_EVENT_MS,
       cost: waitMs + readMs * REREAD_WEIGHT + runMs + distanceMs + failureMs
     }
--- a/test/placement/placers.test.ts
+++ b/test/placement/placers.test.ts
@@ -60,6 +60,21 @@
     chai.expect(placer.place(aModelCall('s', 'own'), new Set())!.target.record.id).to.equal('e2')
   })
 
+  it('lets an account that presses wait behind the others while engines are busy, and only then', async () => {
+    const { virtual, placer, state } = setUp()
+    const of = (account: string): calls.Call => ({ ...aModelCall('s', 'own'), account })
+    for (let turn = 0; turn < 9; turn++) placer.place(of('large'), new Set())
+    for (const account of ['a', 'b', 'c']) placer.place(of(account), new Set())
+    chai.expect(placer.place(of('large'), new Set())!.rank).to.equal(1)
+    await virtual.advance(200)
+    for (const id of ['p1', 'p2']) state(id).unread.add(1, 15_000)
+    for (const id of ['e1', 'e2']) state(id).unread.add(1, 100_000)
+    for (const id of ['p1', 'p2']) state(id).cache.stated('s', 10_000)
+    state('e1').unread.add(1, -95_000)
+    const ranks = [of('large'), of('a')].map((call) => placer.place(call, new Set())!.rank)
+    chai.expect(ranks).to.deep.equal([6, 1])
+  })
+
   it('finds the same home for a part at every gateway', () => {
     const homes = [1, 2, 3].map(() => {
       const { placer } = setUp()
