--- a/test/placement/placers.test.ts
+++ b/test/placement/placers.test.ts
@@ -62,7 +62,7 @@
 
   it('lets an account that presses wait behind the others while engines are busy, and only then', async () => {
     const { virtual, placer, state } = setUp()
-    const of = (account: string): calls.Call => ({ ...aModelCall('s', 'own'), account })
+    const of = (account: string): calls.Call => ({ ...aModelCall('s', 'own'), account, arrivedAt: virtual.now() })
     for (let turn = 0; turn < 9; turn++) placer.place(of('large'), new Set())
     for (const account of ['a', 'b', 'c']) placer.place(of(account), new Set())
     chai.expect(placer.place(of('large'), new Set())!.rank).to.equal(1)
