Resume streams that have run for long; decide on a stop in one place

Cause: the patience of a caller was counted from the arrival, not from the last event, so a stream of over 2 s that broke was cut instead of resumed. Found by reading; the test failed before. The reason to stop had side effects and could be asked twice.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -92,7 +92,7 @@
     state.gone = true
     this.targets.delete(state.record.id)
     this.parts.onGone(state.record.address)
-    this.parts.log.info({ target: state.record.id, service: state.record.service, address: state.record.address }, 'target_gone')
+    this.parts.log.info({ target: state.record.id, service: state.record.service, address: state.record.address, was_leaving: state.record.leaving }, 'target_gone')
   }
 
   private index (): void {
--- a/src/fleet/peer-load.ts
+++ b/src/fleet/peer-load.ts
@@ -38,13 +38,6 @@
     return sum
   }
 
-  /** Gateways with a statement that counts. */
-  fresh (now: number): number {
-    let count = 0
-    for (const statement of this.statements.values()) if (now - statement.at < STATEMENT_LIFE_MS) count++
-    return count
-  }
-
   private * rowsOf (target: string, now: number): Iterable<LoadRow> {
     for (const [gateway, statement] of this.statements) {
       if (now - statement.at >= STATEMENT_LIFE_MS) this.statements.delete(gateway)
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -20,6 +20,8 @@
 export interface StreamProgress {
   /** Id of the last whole event that was passed on. */
   lastId?: string | undefined
+  /** When it was passed on, on the steady clock. */
+  lastAt?: number | undefined
 }
 
 /** What an attempt needs from its surroundings. */
@@ -94,11 +96,6 @@
     this.close({ kind: 'stopped' })
   }
 
-  /** Whether the request may have reached the target. */
-  get written (): boolean {
-    return this.sending?.written ?? false
-  }
-
   head (status: number, headers: upstream.AnswerHeaders): void {
     this.heard()
     const { call, state, stream } = this.spec
@@ -137,6 +134,7 @@
     this.firstEvent()
     if (!reply.started) reply.start(this.head_!)
     progress.lastId = batch.lastId ?? progress.lastId
+    progress.lastAt = this.heardAt
     if (reply.write(batch.bytes)) return
     this.sending?.pause()
     reply.onDrain(() => this.sending?.resume())
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -73,25 +73,21 @@
   private async loop (): Promise<errors.Refusal | undefined> {
     for (;;) {
       const stop = this.reasonToStop()
-      if (stop !== undefined) return stop
+      if (stop !== undefined) return this.giveUp(stop)
       const placed = this.place()
       if (placed === undefined) return this.giveUp('no_target')
       const lateMs = placed.expectedMs - this.servableMs
       if (lateMs > 0) return this.giveUp('deadline_unreachable', lateMs)
       if (!this.mayArrive()) return this.giveUp(this.mayHaveRun ? 'target_failed' : 'retry_budget_exhausted')
-      const done = await this.attemptAt(placed)
-      if (done) return undefined
+      if (await this.attemptAt(placed)) return undefined
     }
   }
 
-  private reasonToStop (): errors.Refusal | undefined {
-    if (this.ended === 'deadline') return this.giveUp('deadline_exceeded')
-    if (this.ended === 'caller_left') return this.giveUp('caller_disconnected')
-    if (this.call.deadlineAt - this.now() < MIN_SEND_MS) return this.giveUp('deadline_unreachable')
-    const forbidden = this.call.forbidden()
-    if (forbidden === undefined) return undefined
-    if (this.reply.started || this.mayHaveRun || this.lastAnswer !== undefined) return this.giveUp(forbidden.reason)
-    return forbidden
+  private reasonToStop (): errors.Refusal | errors.RefusalReason | undefined {
+    if (this.ended === 'deadline') return 'deadline_exceeded'
+    if (this.ended === 'caller_left') return 'caller_disconnected'
+    if (this.call.deadlineAt - this.now() < MIN_SEND_MS) return 'deadline_unreachable'
+    return this.call.forbidden()
   }
 
   private place (): placement.Placement | undefined {
@@ -105,7 +101,8 @@
   /** Time within which a target must begin to answer for the caller to be there still, in ms. */
   private get servableMs (): number {
     const now = this.now()
-    return Math.min(this.call.deadlineAt, this.call.arrivedAt + this.call.route.patienceMs) - now
+    const heardAt = this.progress.lastAt ?? this.call.arrivedAt
+    return Math.min(this.call.deadlineAt, heardAt + this.call.route.patienceMs) - now
   }
 
   private get mayRepeat (): boolean {
@@ -195,7 +192,6 @@
     const unread = extra.handOver === undefined && call.prompt !== undefined ? Math.max(0, call.prompt.promptTokens - state.cache.kept(call.prompt)) : 0
     const one = new attempt.Attempt(this.parts, { call, plan, state, stream, unread, ...patience.patienceOf(call, placed.expectedMs, extra.readOnly === true) })
     this.current = one
-    if (this.ended !== undefined) one.stop()
     const end = await one.run()
     this.current = undefined
     this.parts.log.info({
@@ -254,7 +250,7 @@
   }
 
   /** Ends the call without an answer of its own: with a failed one, a broken stream, or a refusal. */
-  private giveUp (reason: errors.RefusalReason, lateMs = 0): errors.Refusal | undefined {
+  private giveUp (stop: errors.RefusalReason | errors.Refusal, lateMs = 0): errors.Refusal | undefined {
     if (this.reply.started) {
       this.reply.cut()
       return undefined
@@ -264,6 +260,8 @@
       return undefined
     }
     const ran = this.mayHaveRun ? 'maybe' : 'no'
+    if (stop instanceof errors.Refusal && ran === 'no') return stop
+    const reason = stop instanceof errors.Refusal ? stop.reason : stop
     const spread = RETRY_AFTER_MAX_MS - RETRY_AFTER_MIN_MS
     return new errors.Refusal(reason, {
       step: 'route',
--- a/src/upstream/connection-pool.ts
+++ b/src/upstream/connection-pool.ts
@@ -31,11 +31,6 @@
     return conn.send(req, receiver, () => this.put(conn))
   }
 
-  /** Connections to an address, idle or not. */
-  connections (address: string): number {
-    return this.open.get(address) ?? 0
-  }
-
   /** Closes the idle connections to an address; its target is gone or has gone silent. */
   drop (address: string): void {
     for (const conn of this.idle.get(address)?.slice() ?? []) conn.close()
@@ -46,6 +41,10 @@
     for (const address of [...this.idle.keys()]) this.drop(address)
   }
 
+  private connections (address: string): number {
+    return this.open.get(address) ?? 0
+  }
+
   private take (address: string, once: boolean): connection.Connection | undefined {
     const idle = this.idle.get(address)
     const conn = idle?.pop()
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -22,7 +22,6 @@
   private readonly client: undici.Client
   private idleSince = 0
   private idleMs = DEFAULT_IDLE_MS
-  private used = false
   private connected = false
   closed = false
   /** Whether the connection was reset; undici takes a reset as the end of an answer that has no length. */
@@ -91,16 +90,10 @@
 
   /** Notes the end of an answer and the idle time that the target stated. */
   becameIdle (statedIdleMs: number | undefined): void {
-    this.used = true
     this.idleSince = this.clock.now()
     if (statedIdleMs !== undefined) this.idleMs = statedIdleMs
   }
 
-  /** Whether the connection has carried a request before. */
-  get kept (): boolean {
-    return this.used
-  }
-
   /** Closes the socket. */
   close (): void {
     if (this.closed) return
--- a/test/forward/forwarder.test.ts
+++ b/test/forward/forwarder.test.ts
@@ -1,6 +1,6 @@
 import * as chai from 'chai'
 import type * as calls from '../../src/call/index.js'
-import type * as errors from '../../src/errors/index.js'
+import * as errors from '../../src/errors/index.js'
 import * as forward from '../../src/forward/index.js'
 import * as log from '../../src/log/index.js'
 import * as metrics from '../../src/metrics/index.js'
@@ -124,6 +124,34 @@
     chai.expect(run.reply.state).to.equal('cut')
   })
 
+  it('sends nothing more after a stream was cut at its deadline', async () => {
+    const run = setUp()
+    run.start(build.aCall({ route: STREAM, deadlineAt: 1_000 }))
+    const seen = run.upstream.sends[0]!
+    seen.receiver.head(200, { 'request-id': 'c1' })
+    for (let turn = 0; turn < 10; turn++) {
+      seen.receiver.data(Buffer.from(`id: ${turn}\ndata: a\n\n`))
+      await run.virtual.advance(120)
+    }
+    chai.expect(run.reply.state).to.equal('cut')
+    chai.expect(run.upstream.sends).to.have.length(1)
+    chai.expect(run.outcome()).to.equal(undefined)
+  })
+
+  it('goes on with a stream that has run for longer than callers wait between events', async () => {
+    const run = setUp()
+    run.start(build.aCall({ route: STREAM }))
+    const seen = run.upstream.sends[0]!
+    seen.receiver.head(200, { 'request-id': 'c1' })
+    for (let turn = 0; turn < 25; turn++) {
+      seen.receiver.data(Buffer.from(`id: ${turn}\ndata: a\n\n`))
+      await run.virtual.advance(100)
+    }
+    seen.receiver.fail({ written: true, message: 'reset' })
+    await run.virtual.advance(1)
+    chai.expect(run.upstream.sends).to.have.length(2)
+  })
+
   it('stops the target at once when the caller leaves', async () => {
     const run = setUp()
     run.start(build.aCall({ route: ONCE }))
@@ -160,7 +188,7 @@
   it('checks again before each send whether the key still holds', async () => {
     const run = setUp()
     let withdrawn = false
-    const refusal = { reason: 'key_withdrawn' } as errors.Refusal
+    const refusal = new errors.Refusal('key_withdrawn', { step: 'authenticate', ran: 'no' })
     run.start(build.aCall({ route: ONCE, forbidden: () => withdrawn ? refusal : undefined }))
     withdrawn = true
     answer(run.upstream.sends[0]!, 503, '', { 'not-executed': '1' })
