Share what engines keep among gateways; fewer calls to the store; one class for repeated work

Change: four gateways ask an engine, by rendezvous hashing among those that answer, and the first of them passes the changes on in the answers of the load exchange. Looks at the lease and, once a gateway has made itself known, at the list of gateways use the store's cheap reads; before a gateway acts on one it reads again. A gateway that starts tells those it finds, so that an old list delays nobody. The guard 'one turn at a time' stood four times and the repeated read twice: time.RepeatingTask, time.Poll.

--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -3,14 +3,15 @@
 import * as fleet from '../fleet/index.js'
 import type * as log from '../log/index.js'
 import type * as peer from '../peer/index.js'
-import type * as time from '../time/index.js'
+import * as time from '../time/index.js'
 import * as z from 'zod'
 
 /** Prefix of the objects with which gateways make themselves known. */
 export const GATEWAYS_PREFIX = 'godwitpoint-gateways/'
 
-/** Method of the question whether a gateway is ready. */
+/** Methods of the question whether a gateway is ready, and of the notice that one has started. */
 const READY_METHOD = 'gateway.ready'
+const STARTED_METHOD = 'gateway.started'
 
 /** Time between two reads of the list, and between two questions to a gateway, in ms. */
 const LIST_MS = 2_000
@@ -32,12 +33,17 @@
 /** A gateway as it makes itself known. */
 export type GatewayRecord = z.infer<typeof GatewayRecord>
 
-const ReadyAnswer = z.object({ incarnation: z.string(), ready: z.boolean(), load: z.array(fleet.LoadRow) })
+const ReadyAnswer = z.object({ incarnation: z.string(), ready: z.boolean(), load: z.array(fleet.LoadRow), cache: fleet.CacheBatch })
+
+/** The position up to which the one that asks knows what engines keep. */
+const ReadyQuestion = z.object({ cacheSince: z.int() })
 
 interface Known {
   record: GatewayRecord
   answeredAt: number
   ready: boolean
+  /** Position in what the gateway tells of engines. */
+  cacheNext: number
 }
 
 /** What a directory needs from its surroundings. */
@@ -56,35 +62,45 @@
 /** Gateways found through the store and asked directly whether they serve. */
 export class Directory implements AsyncDisposable {
   private readonly known = new Map<string, Known>()
-  private readonly timers: Disposable[] = []
+  private readonly tasks: Disposable[] = []
   private registered: external.StoredObject | undefined
-  private busy = false
+  private announced = false
 
   constructor (private readonly parts: DirectoryParts) {
-    parts.peers.handle(READY_METHOD, async () => ({ incarnation: parts.self.incarnation, ready: parts.ready(), load: parts.fleet.loadRows() }))
+    parts.peers.handle(READY_METHOD, async (params) => ({
+      incarnation: parts.self.incarnation,
+      ready: parts.ready(),
+      load: parts.fleet.loadRows(),
+      cache: parts.fleet.cacheNews.since(ReadyQuestion.parse(params).cacheSince)
+    }))
+    parts.peers.handle(STARTED_METHOD, async (params) => {
+      this.take(GatewayRecord.parse(params), true)
+      return {}
+    })
   }
 
   /** Makes this gateway known and starts to ask the others. */
   start (): void {
-    const { timers } = this.parts.env
-    const update = (): void => {
-      if (this.busy) return
-      this.busy = true
-      this.update().catch((err: unknown) => this.parts.log.error({ err }, 'directory_failed')).finally(() => { this.busy = false })
-    }
-    update()
-    this.timers.push(timers.every(LIST_MS, update), timers.every(ASK_MS, () => this.askAll()))
+    const { env: { timers }, log } = this.parts
+    const list = new time.RepeatingTask(timers, LIST_MS, async () => await this.update(), (err) => log.error({ err }, 'directory_failed'))
+    list.runNow()
+    this.tasks.push(list, timers.every(ASK_MS, () => this.askAll()))
   }
 
   /** Addresses for a caller, this gateway's own included; all known ones when none is known to serve. */
   addresses (): string[] {
-    const now = this.parts.env.clock.now()
-    const ready = [...this.known.values()].filter((one) => one.ready && now - one.answeredAt < ANSWER_LIFE_MS).map((one) => one.record.front)
+    const ready = [...this.known.values()].filter((one) => one.ready && this.answers(one)).map((one) => one.record.front)
     if (this.parts.ready()) ready.push(this.parts.self.front)
     if (ready.length > 0) return ready.slice(0, MAX_NAMED)
     return [...this.known.values()].map((one) => one.record.front).slice(0, MAX_NAMED)
   }
 
+  /** Names of the gateways that answer, this one included. */
+  names (): string[] {
+    const others = [...this.known.values()].filter((one) => this.answers(one)).map((one) => one.record.name)
+    return [this.parts.self.name, ...others]
+  }
+
   /** Addresses at which the other gateways are asked. */
   peerAddresses (): string[] {
     return [...this.known.values()].map((one) => one.record.peer)
@@ -98,7 +114,7 @@
 
   /** Takes this gateway out of the list. */
   async [Symbol.asyncDispose] (): Promise<void> {
-    for (const timer of this.timers) timer[Symbol.dispose]()
+    for (const task of this.tasks) task[Symbol.dispose]()
     const registered = this.registered
     if (registered === undefined) return
     const done = await this.parts.store.delete(registered.key, registered.version)
@@ -106,48 +122,74 @@
   }
 
   private async update (): Promise<void> {
-    const listed = await this.parts.store.list(GATEWAYS_PREFIX)
-    if (listed.err) return
+    // Once this gateway has made itself known, an old state will do: those that start tell it so.
+    const listed = await this.readList(this.announced ? 'cheap' : 'usual')
+    if (listed === undefined || this.announced) return
+    if (this.registered === undefined && !await this.register(listed)) return
+    // Gateways that register at the same moment are in this list, or find this one in theirs.
+    if (await this.readList('usual') === undefined) return
+    this.announced = true
+    for (const { record } of this.known.values()) this.tell(record)
+  }
+
+  private async readList (mode: external.ReadMode): Promise<readonly external.StoredObject[] | undefined> {
+    const listed = await this.parts.store.list(GATEWAYS_PREFIX, mode)
+    if (listed.err) return undefined
     const names = new Set<string>()
     for (const object of listed.val) {
       const parsed = GatewayRecord.safeParse(JSON.parse(object.value))
       if (!parsed.success) continue
       names.add(parsed.data.name)
-      this.take(parsed.data, object)
+      this.noteOwn(parsed.data, object)
+      this.take(parsed.data, false)
     }
-    for (const name of [...this.known.keys()]) {
-      if (!names.has(name)) this.known.delete(name)
+    for (const [name, known] of [...this.known]) {
+      if (!names.has(name) && !this.answers(known)) this.known.delete(name)
     }
-    await this.register(listed.val)
+    return listed.val
   }
 
-  private take (record: GatewayRecord, object: external.StoredObject): void {
-    if (record.name === this.parts.self.name) {
-      if (record.incarnation === this.parts.self.incarnation) this.registered = object
-      return
-    }
+  private noteOwn (record: GatewayRecord, object: external.StoredObject): void {
+    const { self } = this.parts
+    if (record.name === self.name && record.incarnation === self.incarnation && this.registered === undefined) this.registered = object
+  }
+
+  private take (record: GatewayRecord, toldByItself: boolean): void {
     const known = this.known.get(record.name)
-    if (known?.record.incarnation === record.incarnation) return
-    this.known.set(record.name, { record, answeredAt: this.parts.env.clock.now() - ANSWER_LIFE_MS, ready: false })
+    if (record.name === this.parts.self.name || known?.record.incarnation === record.incarnation) return
+    // An old list may name the start before the one that answers.
+    if (known !== undefined && !toldByItself && this.answers(known)) return
+    this.known.set(record.name, { record, answeredAt: this.parts.env.clock.now() - ANSWER_LIFE_MS, ready: false, cacheNext: 0 })
     this.parts.log.info({ gateway: record.name, front: record.front }, 'gateway_listed')
-    this.ask(record)
+    this.ask(this.known.get(record.name)!)
   }
 
-  private async register (listed: readonly external.StoredObject[]): Promise<void> {
-    if (this.registered !== undefined) return
+  private async register (listed: readonly external.StoredObject[]): Promise<boolean> {
     const { self, store } = this.parts
     const key = GATEWAYS_PREFIX + self.name
     const last = listed.find((object) => object.key === key)
     const put = await store.put(key, JSON.stringify(self), last?.version ?? 'absent')
     if (put.ok) this.registered = put.val
+    return put.ok
+  }
+
+  private tell (record: GatewayRecord): void {
+    this.parts.peers.call<unknown>(record.peer, STARTED_METHOD, this.parts.self, ANSWER_MS).then(
+      (answer) => { if (answer.err) this.parts.log.info({ gateway: record.name, reason: answer.val.message }, 'gateway_not_told') },
+      (err: unknown) => this.parts.log.error({ err, gateway: record.name }, 'gateway_tell_failed')
+    )
+  }
+
+  private answers (known: Known): boolean {
+    return this.parts.env.clock.now() - known.answeredAt < ANSWER_LIFE_MS
   }
 
   private askAll (): void {
-    for (const { record } of this.known.values()) this.ask(record)
+    for (const known of this.known.values()) this.ask(known)
   }
 
-  private ask (record: GatewayRecord): void {
-    this.parts.peers.call<unknown>(record.peer, READY_METHOD, {}, ANSWER_MS).then(
+  private ask ({ record, cacheNext }: Known): void {
+    this.parts.peers.call<unknown>(record.peer, READY_METHOD, { cacheSince: cacheNext }, ANSWER_MS).then(
       (answer) => { if (answer.ok) this.answered(record, answer.val) },
       (err: unknown) => this.parts.log.error({ err, gateway: record.name }, 'gateway_ask_failed')
     )
@@ -161,5 +203,9 @@
     known.ready = parsed.data.ready
     known.answeredAt = this.parts.env.clock.now()
     this.parts.fleet.peers.take(record.name, parsed.data.load, known.answeredAt)
+    // Questions overlap: an answer to an earlier one repeats what a later one has brought.
+    if (parsed.data.cache.next <= known.cacheNext) return
+    known.cacheNext = parsed.data.cache.next
+    this.parts.fleet.takeCacheRows(parsed.data.cache.rows)
   }
 }
--- a/src/duties/lease.ts
+++ b/src/duties/lease.ts
@@ -2,7 +2,7 @@
 import type * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import type * as serving from '../serving/index.js'
-import type * as time from '../time/index.js'
+import * as time from '../time/index.js'
 import * as z from 'zod'
 import type * as types from './types.js'
 
@@ -56,19 +56,15 @@
 export class Lease implements AsyncDisposable {
   private held: Held | undefined
   private seen: Seen | undefined
-  private timer: Disposable | undefined
-  private busy = false
+  private task: Disposable | undefined
   private stopped = false
 
   constructor (private readonly parts: LeaseParts) {}
 
   /** Starts to look for the lease. */
   start (): void {
-    this.timer = this.parts.env.timers.every(RENEW_MS, () => {
-      if (this.busy || this.stopped) return
-      this.busy = true
-      this.turn().catch((err: unknown) => this.parts.log.error({ err }, 'lease_failed')).finally(() => { this.busy = false })
-    })
+    const { env, log } = this.parts
+    this.task = new time.RepeatingTask(env.timers, RENEW_MS, async () => await this.turn(), (err) => log.error({ err }, 'lease_failed'))
   }
 
   /** The stamp for a call that is sent now; undefined when this gateway must not call. */
@@ -81,7 +77,7 @@
   /** Gives the lease back. */
   async [Symbol.asyncDispose] (): Promise<void> {
     this.stopped = true
-    this.timer?.[Symbol.dispose]()
+    this.task?.[Symbol.dispose]()
     const held = this.held
     this.held = undefined
     if (held === undefined) return
@@ -92,7 +88,7 @@
 
   private async turn (): Promise<void> {
     if (this.held !== undefined) await this.renew(this.held)
-    else await this.look()
+    else await this.look('cheap')
   }
 
   private async renew (held: Held): Promise<void> {
@@ -106,7 +102,7 @@
     }
     if (put.val.kind === 'conflict') this.lose('changed by another process')
     else if (this.parts.elapsed.now() >= held.validUntil) this.lose(put.val.message)
-    else if (put.val.kind === 'unknown') await this.look()
+    else if (put.val.kind === 'unknown') await this.look('usual')
   }
 
   private lose (reason: string): void {
@@ -115,23 +111,29 @@
     this.seen = undefined
   }
 
-  private async look (): Promise<void> {
+  // Most looks change nothing, so an old state will do for them; before this process acts on one it looks again.
+  private async look (mode: external.ReadMode): Promise<void> {
     const askedAt = this.parts.elapsed.now()
-    const found = await this.parts.store.get(LEASE_KEY)
+    const found = await this.parts.store.get(LEASE_KEY, mode)
     if (found.err || this.stopped) return
+    if (found.val === undefined && mode === 'cheap') return await this.look('usual')
     if (found.val === undefined) {
       await this.take(undefined, 'absent')
       return
     }
     const parsed = LeaseValue.safeParse(JSON.parse(found.val.value))
     const value = parsed.success ? parsed.data : undefined
-    if (value !== undefined && value.incarnation === this.parts.incarnation && !value.released) {
+    const own = value !== undefined && value.incarnation === this.parts.incarnation && !value.released
+    if (own && mode === 'cheap') return await this.look('usual')
+    if (own) {
       this.adopt(value, found.val.version, askedAt)
       return
     }
     if (this.held !== undefined) this.lose('held by another process')
     if (this.seen?.version !== found.val.version) this.seen = { version: found.val.version, at: askedAt }
-    if (value?.released === true || askedAt - this.seen.at >= TAKEOVER_MS) await this.take(value, found.val.version)
+    if (value?.released !== true && askedAt - this.seen.at < TAKEOVER_MS) return
+    if (mode === 'cheap') await this.look('usual')
+    else await this.take(value, found.val.version)
   }
 
   // A write whose answer was lost took effect.
--- a/src/duties/target-orders.ts
+++ b/src/duties/target-orders.ts
@@ -3,7 +3,7 @@
 import type * as fleet from '../fleet/index.js'
 import type * as log from '../log/index.js'
 import type * as serving from '../serving/index.js'
-import type * as time from '../time/index.js'
+import * as time from '../time/index.js'
 import * as z from 'zod'
 import type * as lease from './lease.js'
 import * as orderPlan from './order-plan.js'
@@ -49,8 +49,7 @@
 
 /** Keeps the number of targets as planned. */
 export class TargetOrders implements Disposable {
-  private timer: Disposable | undefined
-  private busy = false
+  private task: Disposable | undefined
   private sizes: Sizes | undefined
   private readonly placed = new Map<string, Placed>()
   private readonly lowerSince = new Map<string, number>()
@@ -61,15 +60,12 @@
 
   /** Starts to look. */
   start (): void {
-    this.timer = this.parts.env.timers.every(LOOK_MS, () => {
-      if (this.busy) return
-      this.busy = true
-      this.look().catch((err: unknown) => this.parts.log.error({ err }, 'target_orders_failed')).finally(() => { this.busy = false })
-    })
+    const { env, log } = this.parts
+    this.task = new time.RepeatingTask(env.timers, LOOK_MS, async () => await this.look(), (err) => log.error({ err }, 'target_orders_failed'))
   }
 
   [Symbol.dispose] (): void {
-    this.timer?.[Symbol.dispose]()
+    this.task?.[Symbol.dispose]()
   }
 
   private async look (): Promise<void> {
--- a/src/duties/usage-closer.ts
+++ b/src/duties/usage-closer.ts
@@ -1,7 +1,7 @@
 /** Closes usage windows and reports them: the final counts are stored before they are sent. */
 import type * as external from '../external/index.js'
 import type * as log from '../log/index.js'
-import type * as time from '../time/index.js'
+import * as time from '../time/index.js'
 import * as z from 'zod'
 import type * as lease from './lease.js'
 import type * as types from './types.js'
@@ -46,8 +46,7 @@
 
 /** Reports each window once; a successor sends the stored counts again, never others. */
 export class UsageCloser implements Disposable {
-  private timer: Disposable | undefined
-  private busy = false
+  private task: Disposable | undefined
   private stored: StoredFinals | undefined
   private lastClosed: number | undefined
 
@@ -55,15 +54,12 @@
 
   /** Starts to close windows whenever this gateway holds the lease. */
   start (): void {
-    this.timer = this.parts.env.timers.every(LOOK_MS, () => {
-      if (this.busy) return
-      this.busy = true
-      this.look().catch((err: unknown) => this.parts.log.error({ err }, 'usage_close_failed')).finally(() => { this.busy = false })
-    })
+    const { env, log } = this.parts
+    this.task = new time.RepeatingTask(env.timers, LOOK_MS, async () => await this.look(), (err) => log.error({ err }, 'usage_close_failed'))
   }
 
   [Symbol.dispose] (): void {
-    this.timer?.[Symbol.dispose]()
+    this.task?.[Symbol.dispose]()
   }
 
   private async look (): Promise<void> {
--- a/src/external/types.ts
+++ b/src/external/types.ts
@@ -30,12 +30,15 @@
   readonly version: number
 }
 
+/** What a read is for: `cheap` ones may show a state that is seconds old also where the store's other reads do not. */
+export type ReadMode = 'usual' | 'cheap'
+
 /** Versioned object API. Each call counts against the platform's rate; a waiting watch counts as one. */
 export interface ObjectStore {
   /** Reads one object; may come from an old copy. Absent objects give `undefined`. */
-  get (key: string): Promise<Result<StoredObject | undefined, StoreError>>
+  get (key: string, mode?: ReadMode): Promise<Result<StoredObject | undefined, StoreError>>
   /** Lists the objects under a prefix; may come from an old copy. */
-  list (prefix: string): Promise<Result<readonly StoredObject[], StoreError>>
+  list (prefix: string, mode?: ReadMode): Promise<Result<readonly StoredObject[], StoreError>>
   /** Conditional update; the answer is authoritative. */
   put (key: string, value: string, expected: Expected): Promise<Result<StoredObject, StoreError>>
   /** Conditional delete. */
--- a/src/fleet/fleet-feed.ts
+++ b/src/fleet/fleet-feed.ts
@@ -2,23 +2,22 @@
 import type * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import type * as serving from '../serving/index.js'
-import type * as time from '../time/index.js'
+import * as time from '../time/index.js'
 import type * as fleet from './fleet.js'
 
-/** Time between two reads, in ms: half of the time within which a leaving target must get no new work. */
-const READ_INTERVAL_MS = 800
+/** Part of the time within which a leaving target must get no new work that lies between two reads; one of them may fail. */
+const INTERVAL_SHARE = 0.4
 
 /** Time to the next read after one failed, in ms. */
 const RETRY_INTERVAL_MS = 250
 
-/** Reads under way at once: one that hangs does not hold up the next. */
-const MAX_READS = 3
-
 /** What a feed needs from its surroundings. */
 export interface FleetFeedParts {
   readonly env: time.Env
   readonly store: external.ObjectStore
   readonly prefix: string
+  /** Time after its acknowledgement from which a leaving target must get no new work, in ms. */
+  readonly leaveMs: number
   /** Decodes an entry; undefined when it describes no target. */
   readonly decode: (object: external.StoredObject) => serving.TargetRecord | undefined
   readonly fleet: fleet.Fleet
@@ -27,18 +26,25 @@
 
 /** Keeps a {@link fleet.Fleet} current. */
 export class FleetFeed implements Disposable {
-  private timer: Disposable | undefined
-  private reads = 0
+  private readonly poll: time.Poll
   private failing = false
   private asked = 0
   private taken = 0
   private loaded = false
 
-  constructor (private readonly parts: FleetFeedParts) {}
+  constructor (private readonly parts: FleetFeedParts) {
+    this.poll = new time.Poll({
+      timers: parts.env.timers,
+      intervalMs: INTERVAL_SHARE * parts.leaveMs,
+      retryMs: RETRY_INTERVAL_MS,
+      read: async () => await this.read(),
+      failed: (err) => parts.log.error({ err }, 'target_list_failed')
+    })
+  }
 
   /** Starts reading. */
   start (): void {
-    this.tick(READ_INTERVAL_MS)
+    this.poll.start()
   }
 
   /** Whether the list was read once. */
@@ -47,25 +53,15 @@
   }
 
   [Symbol.dispose] (): void {
-    this.timer?.[Symbol.dispose]()
-    this.timer = undefined
+    this.poll[Symbol.dispose]()
   }
 
-  private tick (delayMs: number): void {
-    this.timer = this.parts.env.timers.after(delayMs, () => this.tick(this.failing ? RETRY_INTERVAL_MS : READ_INTERVAL_MS))
-    if (this.reads < MAX_READS) this.read().catch((err: unknown) => this.parts.log.error({ err }, 'target_list_failed'))
-  }
-
-  private async read (): Promise<void> {
+  private async read (): Promise<boolean> {
     const turn = ++this.asked
-    this.reads++
-    try {
-      const found = await this.parts.store.list(this.parts.prefix)
-      if (found.err) this.fail(found.val.message)
-      else if (turn > this.taken) this.take(found.val, turn)
-    } finally {
-      this.reads--
-    }
+    const found = await this.parts.store.list(this.parts.prefix)
+    if (found.err) this.fail(found.val.message)
+    else if (turn > this.taken) this.take(found.val, turn)
+    return !this.failing
   }
 
   private take (objects: readonly external.StoredObject[], turn: number): void {
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -2,6 +2,7 @@
 import type * as log from '../log/index.js'
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
+import * as cacheNews from './cache-news.js'
 import * as peerLoad from './peer-load.js'
 import * as targetState from './target-state.js'
 
@@ -21,6 +22,8 @@
   private readonly targets = new Map<string, targetState.TargetState>()
   /** Load of other gateways. */
   readonly peers = new peerLoad.PeerLoad()
+  /** What this gateway learnt from engines, for the others. */
+  readonly cacheNews = new cacheNews.CacheNews()
   private byService = new Map<string, targetState.TargetState[]>()
   private graceUntil = -Infinity
 
@@ -46,6 +49,16 @@
     return rows
   }
 
+  /** Takes what another gateway learnt from engines. */
+  takeCacheRows (rows: readonly cacheNews.CacheRow[]): void {
+    for (const row of rows) {
+      const state = this.targets.get(row.target)
+      if (state === undefined || state.followed) continue
+      if (row.restarted) state.cache.clear()
+      for (const change of row.changes) state.cache.stated(change.id, change.tokens)
+    }
+  }
+
   /** Notes that the list could not be read: entries may have lapsed meanwhile though their targets live. */
   listFailed (): void {
     this.graceUntil = this.parts.clock.now() + RETURN_GRACE_MS
--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -22,6 +22,8 @@
   /** When a hand-over from this target last failed. */
   handOverFailedAt = -Infinity
   gone = false
+  /** Whether this gateway asks the target itself what it keeps, and does not take it from others. */
+  followed = false
   private others = 0
   private statedAt = -Infinity
 
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -46,6 +46,8 @@
   readonly peerPort: number
   readonly bounds: gateway.GatewayBounds & {
     readonly repeats: retry.RepeatLimits
+    /** Time after its acknowledgement from which a leaving target must get no new work, in ms. */
+    readonly leaveMs: number
     /** Time that a stop may take, in ms. */
     readonly graceMs: number
     /** Time within which holders of duties must not take turns, in ms. */
@@ -90,13 +92,13 @@
   constructor (private readonly parts: NodeParts) {
     const { env, store, log, metrics, settings } = parts
     this.elapsed = new serving.ElapsedClock(env.clock)
-    this.feed = new serving.ConfigFeed({ env, elapsed: this.elapsed, store, log, metrics, ...parts.config })
+    this.feed = new serving.ConfigFeed({ env, elapsed: this.elapsed, store, inForceMs: settings.bounds.configMs, log, metrics, ...parts.config })
     this.pool = new upstream.ConnectionPool({ env, metrics })
     this.fleet = new fleet.Fleet({ clock: env.clock, log, onGone: (address) => this.pool.drop(address) })
-    this.fleetFeed = new fleet.FleetFeed({ env, store, fleet: this.fleet, log, ...parts.targets })
-    this.cacheFeed = new fleet.CacheFeed({ env, fleet: this.fleet, upstream: this.pool, protocol: parts.targetProtocol, log })
+    this.fleetFeed = new fleet.FleetFeed({ env, store, fleet: this.fleet, leaveMs: settings.bounds.leaveMs, log, ...parts.targets })
     this.peers = new peer.TcpPeers(env.timers)
     this.directory = new directory.Directory({ env, store, peers: this.peers, fleet: this.fleet, self: this.record(), ready: () => this.ready, log })
+    this.cacheFeed = this.createCacheFeed()
     const turnMs = settings.bounds.turnMs
     this.lease = new duties.Lease({ env, elapsed: this.elapsed, store, holder: settings.name, incarnation: settings.incarnation, turnMs, log })
     const windowMs = settings.bounds.usageWindowMs
@@ -176,6 +178,12 @@
     return { name, incarnation, domain, front: `${frontHost}:${frontPort}`, peer: `${peerHost}:${peerPort}` }
   }
 
+  private createCacheFeed (): fleet.CacheFeed {
+    const { env, settings, targetProtocol, log } = this.parts
+    const gateways = (): readonly string[] => this.directory.names()
+    return new fleet.CacheFeed({ env, fleet: this.fleet, upstream: this.pool, protocol: targetProtocol, self: settings.name, gateways, log })
+  }
+
   private createOrders (): duties.TargetOrders {
     const { env, store, dutyCalls, settings, log } = this.parts
     const services = (): Iterable<serving.ServingService> => this.feed.current()?.config.services.values() ?? []
--- a/src/serving/config-feed.ts
+++ b/src/serving/config-feed.ts
@@ -1,28 +1,27 @@
 /** Keeps the configuration current by reading it from the store. */
 import type * as external from '../external/index.js'
 import type * as log from '../log/index.js'
-import type * as time from '../time/index.js'
+import * as time from '../time/index.js'
 import type * as metrics from '../metrics/index.js'
 import type * as serving from './types.js'
 import * as currency from './currency.js'
 import type * as elapsedClock from './elapsed-clock.js'
 import * as routeTable from './route-table.js'
 
-/** Time between two reads. A change is in force this long after its acknowledgement, plus the read itself, in ms. */
-const READ_INTERVAL_MS = 900
+/** Part of the time in which a change has to be in force that lies between two reads; one of them may fail. */
+const INTERVAL_SHARE = 0.45
 
 /** Time to the next read after one failed, in ms. */
 const RETRY_INTERVAL_MS = 250
 
-/** Reads under way at once: one that hangs does not hold up the next. */
-const MAX_READS = 3
-
 /** What a feed needs from its surroundings. */
 export interface ConfigFeedParts {
   readonly env: time.Env
   readonly elapsed: elapsedClock.ElapsedClock
   readonly store: external.ObjectStore
   readonly key: string
+  /** Time after its acknowledgement at which a change has to be in force, in ms. */
+  readonly inForceMs: number
   /** Decodes the stored text; throws when it is not a configuration. */
   readonly decode: (text: string) => serving.ServingConfig
   readonly log: log.Logger
@@ -34,18 +33,24 @@
   readonly currency: currency.Currency
   private table: routeTable.RouteTable | undefined
   private storeVersion = 0
-  private reads = 0
-  private timer: Disposable | undefined
+  private readonly poll: time.Poll
   private failing = false
   private readonly listeners: Array<(config: serving.ServingConfig) => void> = []
 
   constructor (private readonly parts: ConfigFeedParts) {
     this.currency = new currency.Currency(parts.elapsed)
+    this.poll = new time.Poll({
+      timers: parts.env.timers,
+      intervalMs: INTERVAL_SHARE * parts.inForceMs,
+      retryMs: RETRY_INTERVAL_MS,
+      read: async () => await this.read(),
+      failed: (err) => parts.log.error({ err }, 'config_read_failed')
+    })
   }
 
   /** Starts reading. */
   start (): void {
-    this.tick(READ_INTERVAL_MS)
+    this.poll.start()
   }
 
   /** The newest version that was read. */
@@ -60,29 +65,19 @@
 
   /** Reads at once; for a request that the known configuration does not allow. */
   async refresh (): Promise<void> {
-    if (this.reads < MAX_READS) await this.read()
+    await this.poll.readNow()
   }
 
   [Symbol.dispose] (): void {
-    this.timer?.[Symbol.dispose]()
-    this.timer = undefined
-  }
-
-  private tick (delayMs: number): void {
-    this.timer = this.parts.env.timers.after(delayMs, () => this.tick(this.failing ? RETRY_INTERVAL_MS : READ_INTERVAL_MS))
-    if (this.reads < MAX_READS) this.read().catch((err: unknown) => this.parts.log.error({ err }, 'config_read_failed'))
+    this.poll[Symbol.dispose]()
   }
 
-  private async read (): Promise<void> {
-    this.reads++
+  private async read (): Promise<boolean> {
     const askedAt = this.currency.ask()
-    try {
-      const found = await this.parts.store.get(this.parts.key)
-      if (found.err) this.noteFailure(found.val.message)
-      else this.take(found.val, askedAt)
-    } finally {
-      this.reads--
-    }
+    const found = await this.parts.store.get(this.parts.key)
+    if (found.err) this.noteFailure(found.val.message)
+    else this.take(found.val, askedAt)
+    return !this.failing
   }
 
   private take (object: external.StoredObject | undefined, askedAt: number): void {
--- a/src/standin/memory-store.ts
+++ b/src/standin/memory-store.ts
@@ -1,6 +1,6 @@
 /** In-memory versioned object store with faults that tests switch on. */
 import { Err, Ok, type Result } from '../errors/index.js'
-import type { Expected, ObjectStore, StoredObject, StoreError, WatchBatch } from '../external/index.js'
+import type { Expected, ObjectStore, ReadMode, StoredObject, StoreError, WatchBatch } from '../external/index.js'
 import { delay, type Timers } from '../time/index.js'
 
 /** Largest value, in characters. */
@@ -33,19 +33,20 @@
   private readonly deletions = new Map<string, number>()
   private readonly waiters = new Set<() => void>()
   private copy: Map<string, StoredObject> | undefined
+  private cheapCopy: Map<string, StoredObject> | undefined
   private copyVersion = 0
   private version = 0
 
   constructor (private readonly timers: Timers) {}
 
-  async get (key: string): Promise<Result<StoredObject | undefined, StoreError>> {
+  async get (key: string, mode: ReadMode = 'usual'): Promise<Result<StoredObject | undefined, StoreError>> {
     this.calls.reads++
-    return await this.answer(() => Ok(this.readable().get(key)))
+    return await this.answer(() => Ok(this.readable(mode).get(key)))
   }
 
-  async list (prefix: string): Promise<Result<readonly StoredObject[], StoreError>> {
+  async list (prefix: string, mode: ReadMode = 'usual'): Promise<Result<readonly StoredObject[], StoreError>> {
     this.calls.reads++
-    return await this.answer(() => Ok(this.under(prefix)))
+    return await this.answer(() => Ok(this.under(prefix, mode)))
   }
 
   async put (key: string, value: string, expected: Expected): Promise<Result<StoredObject, StoreError>> {
@@ -76,6 +77,11 @@
     return [...this.objects.keys()].filter((key) => key.startsWith(prefix)).sort()
   }
 
+  /** Starts or stops answering cheap reads alone from a copy of the present state. */
+  setCheapStale (stale: boolean): void {
+    this.cheapCopy = stale ? new Map(this.objects) : undefined
+  }
+
   /** Starts or stops answering reads from a copy of the present state. */
   setStale (stale: boolean): void {
     this.faults.stale = stale
@@ -83,12 +89,12 @@
     this.copyVersion = this.version
   }
 
-  private readable (): Map<string, StoredObject> {
-    return this.copy ?? this.objects
+  private readable (mode: ReadMode): Map<string, StoredObject> {
+    return (mode === 'cheap' ? this.cheapCopy : undefined) ?? this.copy ?? this.objects
   }
 
-  private under (prefix: string): StoredObject[] {
-    return [...this.readable().values()].filter((object) => object.key.startsWith(prefix))
+  private under (prefix: string, mode: ReadMode): StoredObject[] {
+    return [...this.readable(mode).values()].filter((object) => object.key.startsWith(prefix))
   }
 
   private async answer<T> (read: () => Result<T, StoreError>): Promise<Result<T, StoreError>> {
@@ -127,7 +133,7 @@
   }
 
   private changesSince (prefix: string, version: number): WatchBatch {
-    const changes = this.under(prefix).filter((object) => object.version > version)
+    const changes = this.under(prefix, 'usual').filter((object) => object.version > version)
     const deleted = [...this.deletions].filter(([key, at]) => key.startsWith(prefix) && at > version).map(([key]) => key)
     return { changes, deleted, version: Math.max(version, this.copy === undefined ? this.version : this.copyVersion) }
   }
--- /dev/null
+++ b/test/directory/directory.test.ts
@@ -0,0 +1,105 @@
+import * as chai from 'chai'
+import * as directory from '../../src/directory/index.js'
+import * as errors from '../../src/errors/index.js'
+import * as fleet from '../../src/fleet/index.js'
+import * as log from '../../src/log/index.js'
+import type * as peer from '../../src/peer/index.js'
+import * as standin from '../../src/standin/index.js'
+import * as time from '../../src/time/index.js'
+import * as build from '../support/gateway-builders.js'
+
+/** Gateways that share a store and reach each other without delay. */
+class Region {
+  readonly virtual = new time.VirtualTime()
+  readonly store = new standin.MemoryStore(this.virtual)
+  private readonly handlers = new Map<string, Map<string, peer.PeerHandler>>()
+
+  start (name: string, incarnation: string) {
+    const handlers = new Map<string, peer.PeerHandler>()
+    const call = async <T>(address: string, method: string, params: unknown): Promise<errors.Result<T, peer.PeerError>> => {
+      await time.delay(this.virtual, 2)
+      const handler = this.handlers.get(address)?.get(method)
+      return handler === undefined ? errors.Err({ kind: 'timeout', message: 'no answer' }) : errors.Ok(await handler(params) as T)
+    }
+    this.handlers.set(`${name}:2`, handlers)
+    const targets = build.aFleet(this.virtual, [build.aTarget('e1')])
+    const parts: directory.DirectoryParts = {
+      env: this.virtual.env(1),
+      store: this.store,
+      peers: { handle: (method, handler) => { handlers.set(method, handler) }, call },
+      self: { name, incarnation, front: `${name}:1`, peer: `${name}:2`, domain: 'd' },
+      fleet: targets,
+      ready: () => true,
+      log: log.SILENT_LOGGER
+    }
+    const one = new directory.Directory(parts)
+    one.start()
+    return { one, targets }
+  }
+
+  stop (name: string): void {
+    this.handlers.delete(`${name}:2`)
+  }
+}
+
+const kept = (targets: fleet.Fleet): number => targets.ofService('s')[0]!.cache.kept({ promptTokens: 100, outputTokens: 1, parts: [{ id: 'p', tokens: 100 }] })
+
+describe('Directory', () => {
+  it('names a gateway that starts again within a second, also while lists show the state before', async () => {
+    const region = new Region()
+    const a = region.start('a', 'a1')
+    region.start('b', 'b1')
+    await region.virtual.advance(5_000)
+    chai.expect(a.one.addresses()).to.have.members(['a:1', 'b:1'])
+    region.stop('b')
+    await region.virtual.advance(1_500)
+    chai.expect(a.one.addresses()).to.deep.equal(['a:1'])
+    region.start('b', 'b2')
+    await region.virtual.advance(50)
+    region.store.setCheapStale(true)
+    await region.virtual.advance(700)
+    chai.expect(a.one.addresses()).to.have.members(['a:1', 'b:1'])
+  })
+
+  it('keeps a gateway that answers though an old list lacks it, and forgets one that is neither listed nor answers', async () => {
+    const region = new Region()
+    const a = region.start('a', 'a1')
+    await region.virtual.advance(500)
+    region.store.setCheapStale(true)
+    const b = region.start('b', 'b1')
+    await region.virtual.advance(5_000)
+    chai.expect(a.one.addresses()).to.have.members(['a:1', 'b:1'])
+    region.store.setCheapStale(false)
+    region.stop('b')
+    await Promise.all([b.one[Symbol.asyncDispose](), region.virtual.advance(4_500)])
+    chai.expect(a.one.size).to.equal(1)
+  })
+
+  it('passes on what one gateway learnt from an engine, once and in order', async () => {
+    const region = new Region()
+    const a = region.start('a', 'a1')
+    const b = region.start('b', 'b1')
+    await region.virtual.advance(500)
+    a.targets.cacheNews.add('e1', [{ id: 'p', tokens: 100 }])
+    await region.virtual.advance(300)
+    chai.expect(kept(b.targets)).to.equal(100)
+    a.targets.cacheNews.add('e1', [{ id: 'p', tokens: 0 }])
+    await region.virtual.advance(300)
+    chai.expect(kept(b.targets)).to.equal(0)
+    a.targets.cacheNews.add('e1', [{ id: 'p', tokens: 100 }])
+    a.targets.cacheNews.restarted('e1')
+    await region.virtual.advance(300)
+    chai.expect(kept(b.targets)).to.equal(0)
+  })
+
+  it('does not let others overrule what it hears from an engine itself', async () => {
+    const region = new Region()
+    const a = region.start('a', 'a1')
+    const b = region.start('b', 'b1')
+    await region.virtual.advance(500)
+    b.targets.ofService('s')[0]!.followed = true
+    a.targets.cacheNews.add('e1', [{ id: 'p', tokens: 100 }])
+    await region.virtual.advance(300)
+    chai.expect(kept(b.targets)).to.equal(0)
+  })
+})
--- a/test/duties/duties.test.ts
+++ b/test/duties/duties.test.ts
@@ -56,6 +56,26 @@
     chai.expect(a.stamp()).to.equal(undefined)
   })
 
+  it('takes the lease neither back nor over because cheap reads show an old state', async () => {
+    const virtual = new time.VirtualTime()
+    const store = new standin.MemoryStore(virtual)
+    const a = aLease(virtual, store, 'a')
+    a.start()
+    await virtual.advance(1_500)
+    store.setCheapStale(true)
+    const b = aLease(virtual, store, 'b')
+    b.start()
+    await virtual.advance(10_000)
+    chai.expect(a.stamp()?.token).to.equal(1)
+    chai.expect(b.stamp()).to.equal(undefined)
+    store.faults.down = true
+    await virtual.advance(2_500)
+    store.faults.down = false
+    await Promise.all([store.put(duties.LEASE_KEY, JSON.stringify({ holder: 'c', incarnation: 'c-1', token: 2, renewal: 0, released: false }), store.peek(duties.LEASE_KEY)!.version), virtual.advance(10)])
+    await virtual.advance(2_000)
+    chai.expect([a.stamp(), b.stamp()]).to.deep.equal([undefined, undefined])
+  })
+
   it('finds out that a write whose answer was lost took effect', async () => {
     const virtual = new time.VirtualTime()
     const store = new standin.MemoryStore(virtual)
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -20,7 +20,7 @@
   const env = virtual.env(1)
   const store = new standin.MemoryStore(virtual)
   const decode = (text: string): serving.ServingConfig => configs[text]!
-  const feed = new serving.ConfigFeed({ env, elapsed: new serving.ElapsedClock(virtual), store, key: KEY, decode, log: log.SILENT_LOGGER, metrics: new metrics.Metrics() })
+  const feed = new serving.ConfigFeed({ inForceMs: 2_000, env, elapsed: new serving.ElapsedClock(virtual), store, key: KEY, decode, log: log.SILENT_LOGGER, metrics: new metrics.Metrics() })
   const forwarded: string[] = []
   const forwarder = { forward: async (call: { account?: string, forbidden: () => errors.Refusal | undefined }) => { forwarded.push(call.account ?? 'open'); return call.forbidden() } } as unknown as forward.Forwarder
   const one = new gateway.Gateway({ env, feed, forwarder, bounds: { keyMs: 5_000, configMs: 2_000 }, endsAt: () => undefined, refusing: () => false })
--- a/test/support/gateway-process.ts
+++ b/test/support/gateway-process.ts
@@ -63,7 +63,7 @@
         frontPort: this.port,
         peerHost: HOST,
         peerPort: ports[1]!,
-        bounds: { keyMs: 5_000, configMs: 2_000, repeats: { ratio: 0.2, slack: 50, windowMs: 10_000 }, graceMs: 8_000, turnMs: 3_000, usageWindowMs: 5_000 }
+        bounds: { keyMs: 5_000, leaveMs: 2_000, configMs: 2_000, repeats: { ratio: 0.2, slack: 50, windowMs: 10_000 }, graceMs: 8_000, turnMs: 3_000, usageWindowMs: 5_000 }
       },
       env: time.systemEnv(),
       store: this.store,
