Measure calls of the gateway: histograms of waits, counters of placements and of each kind of event

Now: first token, between tokens, wait before the first send, whole call and the part that no target took, by service; sends by phase and by whether they were expected in time; each event of the log, also where its lines are left out. The position in a stream is an object of its own that records the waits.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -4,6 +4,7 @@
 import type * as time from '../time/index.js'
 import type * as upstream from '../upstream/index.js'
 import * as eventSplitter from './event-splitter.js'
+import type * as streamProgress from './stream-progress.js'
 
 /** Largest answer that is held until it is whole, in bytes. */
 const MAX_WHOLE_BYTES = 16 * 1024 * 1024
@@ -16,14 +17,6 @@
   | { readonly kind: 'failed', readonly message: string, readonly silent: boolean }
   | { readonly kind: 'stopped' }
 
-/** What the caller has got of a stream, over all attempts. */
-export interface StreamProgress {
-  /** Id of the last whole event that was passed on. */
-  lastId?: string | undefined
-  /** When it was passed on, on the steady clock. */
-  lastAt?: number | undefined
-}
-
 /** What an attempt needs from its surroundings. */
 export interface AttemptParts {
   readonly env: time.Env
@@ -39,7 +32,7 @@
   readonly plan: calls.SendPlan
   readonly state: fleet.TargetState
   /** Where events go as they arrive; absent when the answer is wanted whole. */
-  readonly stream?: { readonly reply: calls.Reply, readonly progress: StreamProgress } | undefined
+  readonly stream?: { readonly reply: calls.Reply, readonly progress: streamProgress.StreamProgress } | undefined
   /** Prompt tokens that the target is expected to read. */
   readonly unread: number
   /** Time without a byte after which the attempt is given up, in ms: from this target at all, and for this call. */
@@ -133,8 +126,7 @@
     if (batch === undefined) return
     this.firstEvent()
     if (!reply.started) reply.start(this.head_!)
-    progress.lastId = batch.lastId ?? progress.lastId
-    progress.lastAt = this.heardAt
+    progress.passedOn(batch.lastId, this.heardAt)
     if (reply.write(batch.bytes)) return
     this.sending?.pause()
     reply.onDrain(() => this.sending?.resume())
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -1,13 +1,15 @@
 /** Forwards calls: chooses targets, repeats what may be repeated, and delivers one answer. */
 import type * as calls from '../call/index.js'
 import * as errors from '../errors/index.js'
-import type * as fleet from '../fleet/index.js'
+import * as fleet from '../fleet/index.js'
 import type * as log from '../log/index.js'
 import type * as metrics from '../metrics/index.js'
 import type * as placement from '../placement/index.js'
 import type * as retry from '../retry/index.js'
 import * as attempt from './attempt.js'
+import * as callTimes from './call-times.js'
 import * as patience from './patience.js'
+import * as streamProgress from './stream-progress.js'
 
 /** Least time in which a target can answer, in ms; with less left nothing is sent. */
 const MIN_SEND_MS = 15
@@ -40,7 +42,8 @@
 /** One call. */
 class Forwarding {
   private readonly tried = new Set<string>()
-  private readonly progress: attempt.StreamProgress
+  private readonly progress: streamProgress.StreamProgress
+  private readonly times: callTimes.CallTimes
   private readonly budget: retry.SharedBudget
   /** Arrivals at targets that count against the budget and the route's limit. */
   private arrivals = 0
@@ -52,7 +55,8 @@
   private readAccepted = false
 
   constructor (private readonly parts: ForwarderParts, private readonly call: calls.Call, private readonly reply: calls.Reply, private readonly signal: AbortSignal) {
-    this.progress = { lastId: call.resumeAfter }
+    this.progress = new streamProgress.StreamProgress(call, parts.metrics)
+    this.times = new callTimes.CallTimes(call, parts.metrics)
     this.budget = parts.budgetFor(call.service.name)
   }
 
@@ -67,6 +71,7 @@
     } finally {
       timer[Symbol.dispose]()
       this.signal.removeEventListener('abort', onLeave)
+      this.times.ended(this.now())
     }
   }
 
@@ -194,16 +199,19 @@
     this.current = one
     const end = await one.run()
     this.current = undefined
+    const endedAt = this.now()
+    this.times.attempted(sentAt, endedAt)
+    this.parts.metrics.count('godwitpoint_placements_total', `phase="${phaseOf(extra)}",in_time="${placed.rank < fleet.FIRST_LATE_RANK}"`)
     this.parts.log.info({
       id: call.id,
       route: call.route.name,
       target: state.record.id,
-      phase: extra.readOnly === true ? 'read' : extra.handOver !== undefined ? 'run_handed_over' : 'run',
+      phase: phaseOf(extra),
       rank: placed.rank,
       waited_ms: Math.round(sentAt - call.arrivedAt),
       expected_ms: Math.round(placed.expectedMs),
       first_ms: one.firstEventMs,
-      ms: Math.round(this.now() - sentAt),
+      ms: Math.round(endedAt - sentAt),
       unread,
       kind: end.kind,
       status: end.kind === 'answered' ? end.head.status : undefined
@@ -276,6 +284,11 @@
   }
 }
 
+function phaseOf (extra: { readOnly?: boolean, handOver?: calls.HandOver | undefined }): 'read' | 'run_handed_over' | 'run' {
+  if (extra.readOnly === true) return 'read'
+  return extra.handOver === undefined ? 'run' : 'run_handed_over'
+}
+
 // These statuses say that a call has not run, which a target's answer without a statement of its own does not.
 function isPromise (status: number): boolean {
   return status === 408 || status === 421 || status === 429 || status === 503
--- a/src/log/limited-logger.ts
+++ b/src/log/limited-logger.ts
@@ -15,11 +15,11 @@
   suppressed: number
 }
 
-/** Passes on so many lines of each event a second, and says once a second how many it left out. */
+/** Passes on so many lines of each event a second, and says once a second how many it left out; `onEvent` is told of all. */
 export class LimitedLogger implements logger.Logger {
   private readonly budgets = new Map<string, Budget>()
 
-  constructor (private readonly inner: logger.Logger, private readonly clock: time.Clock, private readonly linesPerS = LINES_PER_S) {}
+  constructor (private readonly inner: logger.Logger, private readonly clock: time.Clock, private readonly onEvent: (event: string) => void = () => {}, private readonly linesPerS = LINES_PER_S) {}
 
   debug (fields: object, event: string): void {
     this.write('debug', fields, event)
@@ -38,6 +38,7 @@
   }
 
   private write (level: Level, fields: object, event: string): void {
+    this.onEvent(event)
     const second = Math.floor(this.clock.now() / SECOND_MS)
     const budget = this.budgets.get(event) ?? { second, written: 0, suppressed: 0 }
     this.budgets.set(event, budget)
--- a/test/forward/forwarder.test.ts
+++ b/test/forward/forwarder.test.ts
@@ -20,6 +20,7 @@
   const fleet = build.aFleet(virtual, [build.aTarget('a'), build.aTarget('b')])
   const began: string[] = []
   const budget = new retry.SharedBudget(virtual, { ratio: 0.2, slack, windowMs: 10_000 }, () => 1)
+  const counters = new metrics.Metrics()
   const placer = new placement.PlainPlacer(fleet, env, 'd1', () => 1)
   const forwarder = new forward.Forwarder({
     env,
@@ -30,14 +31,14 @@
     budgetFor: () => budget,
     fleet,
     log: log.SILENT_LOGGER,
-    metrics: new metrics.Metrics(),
+    metrics: counters,
     dropConnections: () => {}
   })
   const reply = new build.RecordedReply()
   const left = new AbortController()
   let outcome: errors.Refusal | undefined | 'open' = 'open'
   const start = (call: calls.Call): void => { forwarder.forward(call, reply, left.signal).then((refusal) => { outcome = refusal }, (err: unknown) => { throw err }) }
-  return { virtual, upstream, fleet, reply, left, began, start, outcome: () => outcome }
+  return { virtual, upstream, fleet, counters, reply, left, began, start, outcome: () => outcome }
 }
 
 function answer (seen: build.SeenSend, status: number, body: string, headers: Record<string, string> = {}): void {
@@ -196,6 +197,25 @@
     chai.expect(run.upstream.sends).to.have.length(1)
     chai.expect(run.outcome()).to.equal(refusal)
   })
+
+  it('measures by service the waits for the first and for further events, and the time that no target took', async () => {
+    const run = setUp()
+    await run.virtual.advance(20)
+    run.start(build.aCall({ route: STREAM, arrivedAt: 0 }))
+    const [first] = run.upstream.sends
+    await run.virtual.advance(100)
+    first!.receiver.head(200, { 'request-id': 'c1' })
+    for (const id of [1, 2, 3]) {
+      first!.receiver.data(Buffer.from(`id: ${id}\ndata: x\n\n`))
+      await run.virtual.advance(50)
+    }
+    first!.receiver.end()
+    await run.virtual.advance(1)
+    const median = (name: string): number => Math.round(run.counters.quantile(`godwitpoint_${name}`, 50, 'service="s"')!)
+    chai.expect([median('first_token'), median('between_tokens'), median('queue_wait'), median('added')]).to.deep.equal([120, 50, 20, 20])
+    chai.expect(median('request')).to.be.within(268, 272)
+    chai.expect(run.counters.counter('godwitpoint_placements_total', 'phase="run",in_time="true"')).to.equal(1)
+  })
 })
 
 describe('EventSplitter', () => {
--- a/test/log/bounded-log.test.ts
+++ b/test/log/bounded-log.test.ts
@@ -7,12 +7,14 @@
   it('sums up what exceeds the rate of an event, and leaves other events alone', async () => {
     const virtual = new time.VirtualTime()
     const lines: string[] = []
+    const seen: string[] = []
     const inner = { ...log.SILENT_LOGGER, info: (_: object, event: string) => lines.push(event), warn: (fields: object, event: string) => lines.push(`${event} ${JSON.stringify(fields)}`) }
-    const limited = new log.LimitedLogger(inner, virtual, 2)
+    const limited = new log.LimitedLogger(inner, virtual, (event) => seen.push(event), 2)
     for (let turn = 0; turn < 5; turn++) limited.info({}, 'many')
     limited.info({}, 'other')
     await virtual.advance(1_000)
     limited.info({}, 'many')
+    chai.expect(seen.filter((event) => event === 'many')).to.have.length(6)
     chai.expect(lines).to.deep.equal(['many', 'many', 'other', 'log_lines_suppressed {"suppressed_event":"many","count":3}', 'many'])
   })
 })
