Learn how long targets keep idle connections

Cause: on the grown sites servers may drop an idle connection unannounced and sooner than they state; what is sent next is reset, and for a call that may run once that is a 502. Test: a server that resets connections that rested 100 ms loses one call, not each (fails without the change).

--- a/src/upstream/connection-pool.ts
+++ b/src/upstream/connection-pool.ts
@@ -2,6 +2,7 @@
 import type * as metrics from '../metrics/index.js'
 import type * as time from '../time/index.js'
 import * as connection from './connection.js'
+import * as restLimits from './rest-limits.js'
 import type * as types from './types.js'
 
 /** Idle connections kept for each target. */
@@ -20,15 +21,17 @@
 export class ConnectionPool implements types.Upstream, Disposable {
   private readonly idle = new Map<string, connection.Connection[]>()
   private readonly open = new Map<string, number>()
+  private readonly rests: restLimits.RestLimits
   private readonly sweeper: Disposable
 
   constructor (private readonly parts: PoolParts) {
+    this.rests = new restLimits.RestLimits(parts.env.clock)
     this.sweeper = parts.env.timers.every(SWEEP_MS, () => this.sweep())
   }
 
   send (req: types.SendReq, receiver: types.Receiver): types.Sending {
     const conn = this.take(req.address, req.once) ?? this.connect(req.address)
-    return conn.send(req, receiver, () => this.put(conn))
+    return conn.send(req, receiver, { idle: () => this.put(conn), lostAfterRest: (restedMs) => this.lost(conn, restedMs) })
   }
 
   /** Closes the idle connections to an address; its target is gone or has gone silent. */
@@ -49,12 +52,17 @@
     const idle = this.idle.get(address)
     const conn = idle?.pop()
     if (conn === undefined) return undefined
-    if (conn.usable(once)) return conn
-    if (conn.usable(false)) idle!.push(conn)
+    if (conn.usable(once, this.rests.of(address, once))) return conn
+    if (conn.usable(false, this.rests.of(address, false))) idle!.push(conn)
     else conn.close()
     return undefined
   }
 
+  private lost (conn: connection.Connection, restedMs: number): void {
+    this.rests.lost(conn.address, restedMs)
+    this.parts.metrics.count('godwitpoint_rested_connections_lost_total')
+  }
+
   private connect (address: string): connection.Connection {
     this.open.set(address, this.connections(address) + 1)
     this.parts.metrics.count('godwitpoint_target_connections_total')
@@ -80,7 +88,7 @@
 
   private sweep (): void {
     for (const idle of [...this.idle.values()]) {
-      for (const conn of idle.filter((one) => !one.usable(false))) conn.close()
+      for (const conn of idle.filter((one) => !one.usable(false, this.rests.of(one.address, false)))) conn.close()
     }
   }
 }
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -23,6 +23,7 @@
   private idleSince = 0
   private idleMs = DEFAULT_IDLE_MS
   private connected = false
+  private used = false
   closed = false
   /** Whether the connection was reset; undici takes a reset as the end of an answer that has no length. */
   reset = false
@@ -62,15 +63,17 @@
     if (socket.errored !== null) this.reset = true
   }
 
-  /** Whether a request may still be sent on this idle connection. */
-  usable (once: boolean): boolean {
+  /** Whether a request may still be sent on this idle connection; `limitMs` is the longest rest that is known to be safe. */
+  usable (once: boolean, limitMs: number): boolean {
     const share = once ? IDLE_SHARE_ONCE : IDLE_SHARE
-    return !this.closed && this.connected && this.clock.now() - this.idleSince < this.idleMs * share
+    return !this.closed && this.connected && this.clock.now() - this.idleSince < Math.min(limitMs, this.idleMs * share)
   }
 
-  /** Sends a request; `onIdle` is called when the connection may carry another one. */
-  send (req: types.SendReq, receiver: types.Receiver, onIdle: () => void): types.Sending {
-    const exchange = new Exchange(this, receiver, onIdle)
+  /** Sends a request. */
+  send (req: types.SendReq, receiver: types.Receiver, events: ExchangeEvents): types.Sending {
+    const restedMs = this.used ? this.clock.now() - this.idleSince : undefined
+    this.used = true
+    const exchange = new Exchange(this, receiver, events, restedMs)
     const opts = {
       method: req.method as undici.Dispatcher.HttpMethod,
       path: req.path,
@@ -103,6 +106,14 @@
   }
 }
 
+/** What becomes of a connection with an exchange. */
+export interface ExchangeEvents {
+  /** The connection may carry another request. */
+  readonly idle: () => void
+  /** It was lost before a byte of the answer, after it had rested for so many ms. */
+  readonly lostAfterRest: (restedMs: number) => void
+}
+
 /** A request and its answer on a connection. */
 class Exchange implements types.Sending, undici.Dispatcher.DispatchHandler {
   written = false
@@ -110,8 +121,9 @@
   private finished = false
   private mustClose = false
   private idleMs: number | undefined
+  private answered = false
 
-  constructor (private readonly connection: Connection, private readonly receiver: types.Receiver, private readonly onIdle: () => void) {}
+  constructor (private readonly connection: Connection, private readonly receiver: types.Receiver, private readonly events: ExchangeEvents, private readonly restedMs: number | undefined) {}
 
   abort (): void {
     if (this.finished) return
@@ -135,6 +147,7 @@
   }
 
   onResponseStart (_controller: undici.Dispatcher.DispatchController, status: number, headers: types.AnswerHeaders): void {
+    this.answered = true
     if (this.finished || status < 200) return
     this.mustClose = /\bclose\b/i.test(single(headers.connection) ?? '')
     this.connection.endsAnswer = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
@@ -155,7 +168,7 @@
     this.finished = true
     this.connection.becameIdle(this.idleMs)
     if (this.mustClose) this.connection.close()
-    else this.onIdle()
+    else this.events.idle()
     this.receiver.end()
   }
 
@@ -163,6 +176,7 @@
     if (this.finished) return
     this.finished = true
     this.connection.close()
+    if (this.restedMs !== undefined && this.written && !this.answered) this.events.lostAfterRest(this.restedMs)
     this.receiver.fail({ written: this.written, message: err.message })
   }
 }
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -39,10 +39,10 @@
   readonly written: boolean
 }
 
-async function send (pool: upstream.ConnectionPool, address: string): Promise<Outcome> {
+async function send (pool: upstream.ConnectionPool, address: string, once = false): Promise<Outcome> {
   return await new Promise((resolve) => {
     let body = ''
-    pool.send({ address, method: 'GET', path: '/', headers: ['host', 'h'], body: new Uint8Array(0), once: false }, {
+    pool.send({ address, method: 'GET', path: '/', headers: ['host', 'h'], body: new Uint8Array(0), once }, {
       head: () => {},
       data: (chunk) => { body += Buffer.from(chunk).toString() },
       end: () => resolve({ kind: 'end', body, written: true }),
@@ -105,6 +105,27 @@
     chai.expect(requests).to.equal(1)
   })
 
+  it('learns from a connection that was lost after a rest: calls that may run once use no connection that rested as long', async () => {
+    const answered = new WeakMap<net.Socket, number>()
+    await using server = new ScriptedServer((socket) => {
+      const forgotten = performance.now() - (answered.get(socket) ?? Infinity) > 100
+      if (forgotten) socket.resetAndDestroy()
+      else socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab')
+      answered.set(socket, performance.now())
+    })
+    using pool = createPool()
+    const address = await server.listen()
+    const rest = async (ms: number): Promise<void> => { await new Promise((resolve) => setTimeout(resolve, ms)) }
+    chai.expect(await send(pool, address, true)).to.include({ kind: 'end' })
+    await rest(200)
+    chai.expect(await send(pool, address, true)).to.include({ kind: 'fail', written: true })
+    for (let turn = 0; turn < 3; turn++) {
+      chai.expect(await send(pool, address, true)).to.include({ kind: 'end' })
+      await rest(200)
+    }
+    chai.expect(await send(pool, address)).to.include({ kind: 'end' })
+  })
+
   it('says that nothing was written when no connection could be opened', async () => {
     const server = new ScriptedServer(() => {})
     const address = await server.listen()
