--- a/src/placement/engine-placer.ts
+++ b/src/placement/engine-placer.ts
@@ -41,7 +41,7 @@
 /** Cost of a target whose calls all fail, in ms. */
 const FAILURE_MS = 1_500
 
-/** Targets looked at by rank for a part; of a larger fleet the others are not considered. */
+/** Targets looked at by rank for a part; of a larger fleet the others are considered when none of these is in time. */
 const CANDIDATES = 12
 
 /** Time for which an engine whose hand-over failed does not read for others, in ms. */
@@ -85,13 +85,18 @@
     const runner = this.leastLoaded(ranked, rank, now)
     if (runner === undefined) return undefined
     let best: Candidate | undefined
-    for (const [index, state] of ranked.slice(0, CANDIDATES).entries()) {
+    for (const [index, state] of ranked.entries()) {
+      if (index >= CANDIDATES && index % CANDIDATES === 0 && best !== undefined && this.isInTime(call, best, now)) return best
       const candidate = this.consider(call, state, index === 0, runner, rank, now)
       if (candidate !== undefined && candidate.cost < (best?.cost ?? Infinity)) best = candidate
     }
     return best
   }
 
+  private isInTime (call: calls.Call, candidate: Candidate, now: number): boolean {
+    return candidate.expectedMs + now - call.arrivedAt <= call.route.aimMs * IN_TIME_FACTOR
+  }
+
   private consider (call: calls.Call, state: fleet.TargetState, home: boolean, runner: fleet.TargetState, rank: number, now: number): Candidate | undefined {
     const reads = state.record.stage === 'prefill'
     if (reads && now - state.handOverFailedAt < HAND_OVER_PAUSE_MS) return undefined
--- a/test/placement/placers.test.ts
+++ b/test/placement/placers.test.ts
@@ -75,6 +75,17 @@
     chai.expect(ranks).to.deep.equal([6, 1])
   })
 
+  it('finds the one idle engine of a large fleet, wherever the homes of a part are, before it gives a call a later rank', () => {
+    const virtual = new time.VirtualTime()
+    const fleet = build.aFleet(virtual, Array.from({ length: 60 }, (_, index) => build.aTarget(`e${index}`, { stage: 'decode' })))
+    for (const state of fleet.ofService('s')) if (state.record.id !== 'e30') state.unread.add(0, 100_000)
+    const placer = new placement.EnginePlacer(fleet, virtual.env(1), 'd1', () => 4)
+    for (let part = 0; part < 20; part++) {
+      const placed = placer.place(aModelCall(`s${part}`, 'own', 100), new Set())!
+      chai.expect([placed.target.record.id, placed.rank]).to.deep.equal(['e30', 1])
+    }
+  })
+
   it('finds the same home for a part at every gateway', () => {
     const homes = [1, 2, 3].map(() => {
       const { placer } = setUp()
