--- a/src/duties/lease.ts
+++ b/src/duties/lease.ts
@@ -26,7 +26,12 @@
   renewal: z.int(),
   released: z.boolean()
 })
-type LeaseValue = z.infer<typeof LeaseValue>
+export type LeaseValue = z.infer<typeof LeaseValue>
+
+/** The lease as it is stored; throws when the object is none. */
+export function decodeLease (object: external.StoredObject): LeaseValue {
+  return LeaseValue.parse(JSON.parse(object.value))
+}
 
 /** What a lease needs from its surroundings. */
 export interface LeaseParts {
--- a/src/duties/usage-closer.ts
+++ b/src/duties/usage-closer.ts
@@ -25,7 +25,7 @@
 
 const Counts = z.record(z.string(), z.int())
 const Finals = z.record(z.string(), z.object({ counts: Counts, reported: z.boolean() }))
-type Finals = z.infer<typeof Finals>
+export type Finals = z.infer<typeof Finals>
 const Windows = z.record(z.string(), Counts)
 
 /** What a closer needs from its surroundings. */
@@ -39,6 +39,11 @@
   readonly log: log.Logger
 }
 
+/** Final counts by window as they are stored; throws when the object holds none. */
+export function decodeFinals (object: external.StoredObject): Finals {
+  return Finals.parse(JSON.parse(object.value))
+}
+
 interface StoredFinals {
   finals: Finals
   version: external.Expected
@@ -79,7 +84,7 @@
     const found = await this.parts.store.get(FINALS_KEY)
     if (found.err) return undefined
     if (found.val === undefined) return { finals: {}, version: 'absent' }
-    return { finals: Finals.parse(JSON.parse(found.val.value)), version: found.val.version }
+    return { finals: decodeFinals(found.val), version: found.val.version }
   }
 
   private async close (due: number): Promise<void> {
