Bound what the load exchange costs; take a store that lets calls wait for one that may hold a withdrawal

Load exchange. Now a gateway asks 67 others a second at most, each between 2 and 8 times a second, and statements are summed by target as they come. Cause: a client that gives up after 2 s reports 'unknown', which ConfigSpread took for no answer at all, so a slow store counted as one that answers nobody and keys went on by contact among entries. A call that reached the store now counts as an answer; only a store that cannot be reached answers nobody.

--- a/src/config/store-source.ts
+++ b/src/config/store-source.ts
@@ -24,7 +24,7 @@
 
 /** Calls the store for one process. */
 export class StoreSource {
-  /** Monotonic time at which the store last answered a call. */
+  /** Monotonic time at which the store last answered a call, or at which one that had reached it was given up. */
   answeredAt = -Infinity
   private probeVersion: Expected = 'absent'
   private watched = 0
@@ -90,9 +90,10 @@
   }
 
   private async limited<T> (call: Promise<Result<T, StoreError>>, ms: number): Promise<Result<T, StepError>> {
-    // A slow store answers as well: it may hold a withdrawal that this process does not know of.
+    // A store that answers late, or that took a call and lets it wait, may hold a withdrawal that this process does not know
+    // of; only one that cannot be reached answers nobody.
     const noted = call.then((late) => {
-      if (late.ok || late.val.kind === 'conflict') this.answeredAt = this.env.clock.now()
+      if (late.ok || late.val.kind !== 'unavailable') this.answeredAt = this.env.clock.now()
       return late
     })
     const answer = await withDeadline<Result<T, StoreError>>(this.env.timers, ms, noted, () => Err({ kind: 'unknown', message: `no answer within ${ms} ms` }))
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -13,9 +13,15 @@
 const READY_METHOD = 'gateway.ready'
 const STARTED_METHOD = 'gateway.started'
 
-/** Time between two reads of the list, and between two questions to a gateway, in ms. */
+/** Time between two reads of the list, in ms. */
 const LIST_MS = 2_000
-const ASK_MS = 120
+
+/** Shortest and longest time between two questions to a gateway, in ms; the longest leaves two within the life of an answer. */
+const ASK_MIN_MS = 120
+const ASK_MAX_MS = 500
+
+/** Time between two questions to anyone, in ms, while the bounds above allow it: what this costs must not grow with the square of the gateways. */
+const ASK_EACH_MS = 15
 
 /** Time allowed for an answer of a gateway, in ms. */
 const ANSWER_MS = 400
@@ -63,6 +69,7 @@
 export class Directory implements AsyncDisposable {
   private readonly known = new Map<string, Known>()
   private readonly tasks: Disposable[] = []
+  private asking: Disposable | undefined
   private registered: external.StoredObject | undefined
   private announced = false
 
@@ -84,7 +91,8 @@
     const { env: { timers }, log } = this.parts
     const list = new time.RepeatingTask(timers, LIST_MS, async () => await this.update(), (err) => log.error({ err }, 'directory_failed'))
     list.runNow()
-    this.tasks.push(list, timers.every(ASK_MS, () => this.askAll()))
+    this.tasks.push(list)
+    this.askInTurn()
   }
 
   /** Addresses for a caller, this gateway's own included; all known ones when none is known to serve. */
@@ -115,6 +123,7 @@
   /** Takes this gateway out of the list. */
   async [Symbol.asyncDispose] (): Promise<void> {
     for (const task of this.tasks) task[Symbol.dispose]()
+    this.asking?.[Symbol.dispose]()
     const registered = this.registered
     if (registered === undefined) return
     const done = await this.parts.store.delete(registered.key, registered.version)
@@ -184,8 +193,10 @@
     return this.parts.env.clock.now() - known.answeredAt < ANSWER_LIFE_MS
   }
 
-  private askAll (): void {
+  private askInTurn (): void {
     for (const known of this.known.values()) this.ask(known)
+    const intervalMs = Math.min(ASK_MAX_MS, Math.max(ASK_MIN_MS, ASK_EACH_MS * this.known.size))
+    this.asking = this.parts.env.timers.after(intervalMs, () => this.askInTurn())
   }
 
   private ask ({ record, cacheNext }: Known): void {
--- a/src/fleet/peer-load.ts
+++ b/src/fleet/peer-load.ts
@@ -5,46 +5,65 @@
 const STATEMENT_LIFE_MS = 1_000
 
 /** One target: its id, calls under way, and unread tokens by rank. */
-export const LoadRow = z.tuple([z.string(), z.number()]).rest(z.number())
+export const LoadRow = z.tuple([z.string(), z.int()]).rest(z.int())
 export type LoadRow = z.infer<typeof LoadRow>
 
 interface Statement {
   readonly at: number
-  readonly rows: ReadonlyMap<string, LoadRow>
+  readonly rows: readonly LoadRow[]
 }
 
-/** The last statement of each gateway. */
+/**
+ * The last statement of each gateway, and their sums by target: each placement looks at many targets, and there may be
+ * many gateways.
+ */
 export class PeerLoad {
+  /** The oldest statement first. */
   private readonly statements = new Map<string, Statement>()
+  /** Calls under way, then unread tokens by rank. */
+  private readonly sums = new Map<string, number[]>()
 
   /** Takes what a gateway states at `now`. */
   take (gateway: string, rows: readonly LoadRow[], now: number): void {
-    this.statements.set(gateway, { at: now, rows: new Map(rows.map((row) => [row[0], row])) })
+    this.forget(gateway)
+    this.statements.set(gateway, { at: now, rows })
+    for (const row of rows) this.add(row, 1)
   }
 
   /** Calls that others have at a target. */
   running (target: string, now: number): number {
-    let sum = 0
-    for (const row of this.rowsOf(target, now)) sum += row[1]
-    return sum
+    return this.sumsOf(target, now)?.[0] ?? 0
   }
 
   /** Unread tokens of others at a target that are read before a new call with `rank`. */
   ahead (target: string, rank: number, now: number): number {
-    let sum = 0
-    for (const row of this.rowsOf(target, now)) {
-      for (let index = 2; index < row.length && index - 2 <= rank; index++) sum += Number(row[index])
-    }
-    return sum
+    const sums = this.sumsOf(target, now)
+    if (sums === undefined) return 0
+    let ahead = 0
+    for (let index = 1; index < sums.length && index - 1 <= rank; index++) ahead += sums[index]!
+    return ahead
   }
 
-  private * rowsOf (target: string, now: number): Iterable<LoadRow> {
+  private sumsOf (target: string, now: number): readonly number[] | undefined {
     for (const [gateway, statement] of this.statements) {
-      if (now - statement.at >= STATEMENT_LIFE_MS) this.statements.delete(gateway)
-      else {
-        const row = statement.rows.get(target)
-        if (row !== undefined) yield row
-      }
+      if (now - statement.at < STATEMENT_LIFE_MS) break
+      this.forget(gateway)
     }
+    return this.sums.get(target)
+  }
+
+  private forget (gateway: string): void {
+    const statement = this.statements.get(gateway)
+    if (statement === undefined) return
+    this.statements.delete(gateway)
+    for (const row of statement.rows) this.add(row, -1)
+  }
+
+  // All figures are whole numbers, so that taking away what was added leaves nothing.
+  private add ([target, ...figures]: LoadRow, sign: 1 | -1): void {
+    const sums = this.sums.get(target) ?? []
+    for (const [index, figure] of figures.entries()) sums[index] = (sums[index] ?? 0) + sign * figure
+    if (sums.every((sum) => sum === 0)) this.sums.delete(target)
+    else this.sums.set(target, sums)
   }
 }
--- a/test/config/carried-proof.test.ts
+++ b/test/config/carried-proof.test.ts
@@ -22,7 +22,11 @@
     chai.expect(holdsAfter(news, -Infinity), 'a message of unknown delay proves nothing').to.equal(false)
     chai.expect(holdsAfter(news, time.now() - FRESH_MS), 'a message may be as old as its request').to.equal(false)
     chai.expect(holdsAfter(news, time.now())).to.equal(true)
-    chai.expect(holdsAfter({ ...news, p: 2 }, time.now()), 'generation 2 exists').to.equal(false)
+    chai.expect(holdsAfter({ ...news, p: 2 }, time.now()), 'generation 1 was the newest 101 ms ago').to.equal(true)
+    await time.advance(FRESH_MS - 102)
+    chai.expect(spread.keysAreCurrent()).to.equal(true)
+    await time.advance(2)
+    chai.expect(spread.keysAreCurrent(), 'generation 2 exists and is not known here').to.equal(false)
   })
 
   it('gets news that gossip has room for', async () => {
--- a/test/config/fleet.ts
+++ b/test/config/fleet.ts
@@ -2,6 +2,7 @@
 import * as fs from 'node:fs'
 import { checkConfig, ConfigSpread, publishConfig, readConfig, withKeyWithdrawn, type ConfigMember } from '../../src/config/index.js'
 import { Err, Ok, type Result } from '../../src/errors/index.js'
+import type { StoreError } from '../../src/external/index.js'
 import { SILENT_LOGGER } from '../../src/log/index.js'
 import { Metrics } from '../../src/metrics/index.js'
 import type { PeerClient, PeerError, PeerHandler, PeerServer } from '../../src/peer/index.js'
@@ -11,6 +12,9 @@
 
 const LATENCY_MS = 1.5
 
+/** Time after which the clients of the store give up, in ms. */
+const STORE_TIMEOUT_MS = 2_000
+
 /** The example configuration with one key for each account. */
 export function exampleSet (): ConfigSet {
   const set = checkConfig(JSON.parse(fs.readFileSync('examples/consortium.json', 'utf8'))).unwrap()
@@ -83,6 +87,8 @@
   readonly time = new VirtualTime()
   readonly store = new MemoryStore(this.time)
   readonly processes: FleetProcess[] = []
+  /** The store takes calls and answers none in time. */
+  storeTimesOut = false
   private readonly byName = new Map<string, FleetProcess>()
 
   constructor (count: number, regions: number) {
@@ -160,10 +166,16 @@
 
   storeFor (process: FleetProcess): MemoryStore {
     const unreachable = async (): Promise<never> => await new Promise<never>(() => {})
+    const timesOut = async (): Promise<Result<never, StoreError>> => {
+      await delay(this.time, STORE_TIMEOUT_MS)
+      return Err({ kind: 'unknown', message: 'no answer in time' })
+    }
     return new Proxy(this.store, {
       get: (store, key) => {
         const member: unknown = Reflect.get(store, key)
-        return typeof member !== 'function' ? member : process.cut ? unreachable : member.bind(store)
+        if (typeof member !== 'function') return member
+        if (process.cut) return unreachable
+        return this.storeTimesOut ? timesOut : member.bind(store)
       }
     })
   }
--- a/test/config/spread.test.ts
+++ b/test/config/spread.test.ts
@@ -52,6 +52,21 @@
     chai.expect(fleet.processes.every((process) => process.spread.keysAreCurrent())).to.equal(true)
   })
 
+  it('refuses keyed requests when the store takes calls and answers none in time: it may hold a withdrawal', async () => {
+    const fleet = await started(6, 1)
+    fleet.storeTimesOut = true
+    await fleet.withdrawInStore('key1')
+    await fleet.time.advance(FRESH_MS + 500)
+    for (let step = 0; step < 100; step++) {
+      chai.expect(fleet.processes.filter((process) => process.spread.keysAreCurrent())).to.have.length(0)
+      await fleet.time.advance(100)
+    }
+    fleet.storeTimesOut = false
+    await fleet.time.advance(5_000)
+    chai.expect(fleet.processes.every((process) => process.spread.keysAreCurrent())).to.equal(true)
+    chai.expect(fleet.generations()).to.deep.equal(Array(6).fill(2))
+  })
+
   it('does not start with an old copy', async () => {
     const fleet = new Fleet(1, 1)
     await fleet.settle(fleet.publish(() => exampleSet()))
