--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -32,6 +32,12 @@
 /** Time for which a gateway that does not answer still counts among those that share the retry budget, in ms. */
 const SHARE_LIFE_MS = 12_000
 
+/**
+ * Time after the start of a process for which it names all registered gateways while fewer than half are known to serve, in
+ * ms: after a loss of all, those that come back first would get all callers, and keep their connections.
+ */
+const SPREAD_MS = 3_000
+
 /** Gateways named in one answer to a caller. */
 const MAX_NAMED = 64
 
@@ -72,6 +78,7 @@
   private asking: Disposable | undefined
   private registered: external.StoredObject | undefined
   private announced = false
+  private startedAt = -Infinity
 
   constructor (private readonly parts: DirectoryParts) {
     parts.peers.handle(READY_METHOD, async (params) => ({
@@ -88,19 +95,39 @@
 
   /** Makes this gateway known and starts to ask the others. */
   start (): void {
-    const { env: { timers }, log } = this.parts
+    const { env: { clock, timers }, log } = this.parts
+    this.startedAt = clock.now()
     const list = new time.RepeatingTask(timers, LIST_MS, async () => await this.update(), (err) => log.error({ err }, 'directory_failed'))
     list.runNow()
     this.tasks.push(list)
     this.askInTurn()
   }
 
-  /** Addresses for a caller, this gateway's own included; all known ones when none is known to serve. */
+  /** Addresses for a caller, this gateway's own included; all known ones when none, or at first too few, are known to serve. */
   addresses (): string[] {
     const ready = [...this.known.values()].filter((one) => one.ready && this.answers(one)).map((one) => one.record.front)
     if (this.parts.ready()) ready.push(this.parts.self.front)
-    if (ready.length > 0) return ready.slice(0, MAX_NAMED)
-    return [...this.known.values()].map((one) => one.record.front).slice(0, MAX_NAMED)
+    const registered = [...this.known.values()].map((one) => one.record.front)
+    if (ready.length > 0 && !this.mustSpread(ready.length, registered.length)) return this.sample(ready)
+    if (this.parts.ready()) registered.push(this.parts.self.front)
+    return this.sample(registered)
+  }
+
+  // Of more gateways than may be named, each answer names others, so that callers spread over all.
+  private sample (addresses: string[]): string[] {
+    if (addresses.length <= MAX_NAMED) return addresses
+    const { random } = this.parts.env
+    for (let index = 0; index < MAX_NAMED; index++) {
+      const other = index + Math.floor(random.next() * (addresses.length - index))
+      const address = addresses[other]!
+      addresses[other] = addresses[index]!
+      addresses[index] = address
+    }
+    return addresses.slice(0, MAX_NAMED)
+  }
+
+  private mustSpread (ready: number, others: number): boolean {
+    return this.parts.env.clock.now() - this.startedAt < SPREAD_MS && 2 * ready < others + 1
   }
 
   /** Names of the gateways that answer, this one included. */
--- a/test/directory/directory.test.ts
+++ b/test/directory/directory.test.ts
@@ -61,6 +61,37 @@
     chai.expect(a.one.addresses()).to.have.members(['a:1', 'b:1'])
   })
 
+  it('names all registered gateways right after a loss of all, so that those that return first do not get all callers', async () => {
+    const region = new Region()
+    const names = ['a', 'b', 'c', 'd', 'e']
+    for (const name of names) region.start(name, `${name}1`)
+    await region.virtual.advance(5_000)
+    for (const name of names) region.stop(name)
+    await region.virtual.advance(2_000)
+    const a = region.start('a', 'a2')
+    await region.virtual.advance(20)
+    chai.expect(a.one.addresses()).to.have.members(names.map((name) => `${name}:1`))
+    region.start('b', 'b2')
+    region.start('c', 'c2')
+    await region.virtual.advance(200)
+    chai.expect(a.one.addresses()).to.have.members(['a:1', 'b:1', 'c:1'])
+    region.stop('b')
+    region.stop('c')
+    await region.virtual.advance(3_000)
+    chai.expect(a.one.addresses()).to.deep.equal(['a:1'])
+  })
+
+  it('spreads callers over all gateways when it may not name them all', async () => {
+    const region = new Region()
+    const count = 100
+    for (let index = 1; index < count; index++) region.start(`g${index}`, `g${index}-1`)
+    const first = region.start('g0', 'g0-1')
+    await region.virtual.advance(3_000)
+    const named = Array.from({ length: 20 }, () => first.one.addresses())
+    for (const addresses of named) chai.expect(new Set(addresses).size).to.equal(64)
+    chai.expect(new Set(named.flat()).size).to.equal(count)
+  })
+
   it('keeps a gateway that answers though an old list lacks it, and forgets one that is neither listed nor answers', async () => {
     const region = new Region()
     const a = region.start('a', 'a1')
