Ask few engines at once for all that they remember

Now three first questions are under way at once, with 3 s each, and gateways that were listed just now count as running when engines are divided.

--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -53,6 +53,7 @@
 interface Known {
   record: GatewayRecord
   answeredAt: number
+  readonly listedAt: number
   ready: boolean
   /** Position in what the gateway tells of engines. */
   cacheNext: number
@@ -130,9 +131,10 @@
     return this.parts.env.clock.now() - this.startedAt < SPREAD_MS && 2 * ready < others + 1
   }
 
-  /** Names of the gateways that answer, this one included. */
+  /** Names of the gateways that answer, this one included; right after they are listed they count as answering. */
   names (): string[] {
-    const others = [...this.known.values()].filter((one) => this.answers(one)).map((one) => one.record.name)
+    const now = this.parts.env.clock.now()
+    const others = [...this.known.values()].filter((one) => this.answers(one) || now - one.listedAt < SPREAD_MS).map((one) => one.record.name)
     return [this.parts.self.name, ...others]
   }
 
@@ -193,9 +195,10 @@
   private take (record: GatewayRecord, toldByItself: boolean): void {
     const known = this.known.get(record.name)
     if (record.name === this.parts.self.name || known?.record.incarnation === record.incarnation) return
+    const now = this.parts.env.clock.now()
     // An old list may name the start before the one that answers.
     if (known !== undefined && !toldByItself && this.answers(known)) return
-    this.known.set(record.name, { record, answeredAt: this.parts.env.clock.now() - ANSWER_LIFE_MS, ready: false, cacheNext: 0 })
+    this.known.set(record.name, { record, answeredAt: now - ANSWER_LIFE_MS, listedAt: now, ready: false, cacheNext: 0 })
     this.parts.log.info({ gateway: record.name, front: record.front }, 'gateway_listed')
     this.ask(this.known.get(record.name)!)
   }
--- a/src/fleet/cache-feed.ts
+++ b/src/fleet/cache-feed.ts
@@ -19,6 +19,13 @@
 /** Time after which an engine that did not answer is asked again, in ms. */
 const RETRY_MS = 1_000
 
+/** The same for the first question to an engine, whose answer is all that the engine remembers. */
+const FIRST_WAIT_MS = 250
+const FIRST_ANSWER_MS = 3_000
+
+/** First questions under way at once: after a restart their answers must not fill the link that calls need. */
+const MAX_FIRST = 3
+
 /** Time between two looks for engines that are not followed yet, in ms. */
 const LOOK_MS = 500
 
@@ -44,14 +51,13 @@
 /** Asks engines for changes, one question at a time; each engine is asked by a few gateways. */
 export class CacheFeed implements Disposable {
   private timer: Disposable | undefined
+  private first = 0
 
   constructor (private readonly parts: CacheFeedParts) {}
 
   /** Starts to follow this gateway's share of the engines. */
   start (): void {
-    this.timer = this.parts.env.timers.every(LOOK_MS, () => {
-      for (const state of this.parts.fleet.all()) if (state.record.stage !== undefined && !state.followed && this.followers(state).includes(this.parts.self)) this.follow(state)
-    })
+    this.timer = this.parts.env.timers.every(LOOK_MS, () => this.look())
   }
 
   [Symbol.dispose] (): void {
@@ -59,9 +65,21 @@
     this.timer = undefined
   }
 
+  private look (): void {
+    for (const state of this.parts.fleet.all()) {
+      if (this.first >= MAX_FIRST) return
+      if (state.record.stage !== undefined && !state.followed && this.followers(state).includes(this.parts.self)) this.follow(state)
+    }
+  }
+
   private follow (state: targetState.TargetState): void {
     state.followed = true
-    this.ask(state, { epoch: undefined, since: 0 })
+    this.first++
+    this.fetch(state, 0, FIRST_WAIT_MS, FIRST_ANSWER_MS).then((batch) => {
+      this.first--
+      this.proceed(state, batch, { epoch: undefined, since: 0 })
+      if (this.timer !== undefined) this.look()
+    }, (err: unknown) => this.parts.log.error({ err, target: state.record.id }, 'cache_feed_failed'))
   }
 
   private ask (state: targetState.TargetState, from: Position): void {
@@ -69,12 +87,21 @@
       state.followed = false
       return
     }
-    const { env, protocol } = this.parts
-    this.fetch(state.record.address, protocol.encodeCacheQuery(state.record, from.since, WAIT_MS)).then((body) => {
-      const batch = body === undefined ? undefined : protocol.decodeCacheChanges(body)
-      const next = batch === undefined ? from : this.apply(state, batch, from)
-      env.timers.after(batch === undefined ? RETRY_MS : GATHER_MS, () => this.ask(state, next))
-    }, (err: unknown) => this.parts.log.error({ err, target: state.record.id }, 'cache_feed_failed'))
+    this.fetch(state, from.since, WAIT_MS, ANSWER_MS).then(
+      (batch) => this.proceed(state, batch, from),
+      (err: unknown) => this.parts.log.error({ err, target: state.record.id }, 'cache_feed_failed')
+    )
+  }
+
+  private proceed (state: targetState.TargetState, batch: calls.CacheChanges | undefined, from: Position): void {
+    const next = batch === undefined ? from : this.apply(state, batch, from)
+    this.parts.env.timers.after(batch === undefined ? RETRY_MS : GATHER_MS, () => this.ask(state, next))
+  }
+
+  private async fetch (state: targetState.TargetState, since: number, waitMs: number, answerMs: number): Promise<calls.CacheChanges | undefined> {
+    const { protocol } = this.parts
+    const body = await this.read(state.record.address, protocol.encodeCacheQuery(state.record, since, waitMs), waitMs + answerMs)
+    return body === undefined ? undefined : protocol.decodeCacheChanges(body)
   }
 
   private followers (state: targetState.TargetState): string[] {
@@ -99,12 +126,12 @@
   }
 
   /** The body of a whole answer with status 200. */
-  private async fetch (address: string, req: calls.CacheQuery): Promise<Uint8Array | undefined> {
+  private async read (address: string, req: calls.CacheQuery, timeoutMs: number): Promise<Uint8Array | undefined> {
     return await new Promise((resolve) => {
       const chunks: Uint8Array[] = []
       let bytes = 0
       let ok = false
-      const timer = this.parts.env.timers.after(WAIT_MS + ANSWER_MS, () => { sending.abort(); resolve(undefined) })
+      const timer = this.parts.env.timers.after(timeoutMs, () => { sending.abort(); resolve(undefined) })
       const done = (body: Uint8Array | undefined): void => {
         timer[Symbol.dispose]()
         resolve(body)
