--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -48,7 +48,7 @@
 const ReadyAnswer = z.object({ incarnation: z.string(), ready: z.boolean(), load: z.array(fleet.LoadRow), cache: fleet.CacheBatch })
 
 /** The position up to which the one that asks knows what engines keep. */
-const ReadyQuestion = z.object({ cacheSince: z.int() })
+const ReadyQuestion = z.object({ cacheSince: z.int().optional() })
 
 interface Known {
   record: GatewayRecord
@@ -56,7 +56,7 @@
   readonly listedAt: number
   ready: boolean
   /** Position in what the gateway tells of engines. */
-  cacheNext: number
+  cacheNext: number | undefined
 }
 
 /** What a directory needs from its surroundings. */
@@ -198,7 +198,7 @@
     const now = this.parts.env.clock.now()
     // An old list may name the start before the one that answers.
     if (known !== undefined && !toldByItself && this.answers(known)) return
-    this.known.set(record.name, { record, answeredAt: now - ANSWER_LIFE_MS, listedAt: now, ready: false, cacheNext: 0 })
+    this.known.set(record.name, { record, answeredAt: now - ANSWER_LIFE_MS, listedAt: now, ready: false, cacheNext: undefined })
     this.parts.log.info({ gateway: record.name, front: record.front }, 'gateway_listed')
     this.ask(this.known.get(record.name)!)
   }
@@ -245,7 +245,7 @@
     known.answeredAt = this.parts.env.clock.now()
     this.parts.fleet.peers.take(record.name, parsed.data.load, known.answeredAt)
     // Questions overlap: an answer to an earlier one repeats what a later one has brought.
-    if (parsed.data.cache.next <= known.cacheNext) return
+    if (known.cacheNext !== undefined && parsed.data.cache.next <= known.cacheNext) return
     known.cacheNext = parsed.data.cache.next
     this.parts.fleet.takeCacheRows(parsed.data.cache.rows)
   }
--- a/src/fleet/cache-feed.ts
+++ b/src/fleet/cache-feed.ts
@@ -114,7 +114,8 @@
     const restarted = from.epoch !== undefined && batch.epoch !== from.epoch
     if (restarted) state.cache.clear()
     for (const change of batch.changes) state.cache.stated(change.id, change.tokens)
-    if (this.tellsOthers(state)) {
+    // What an engine remembers at the first question is no news to the others.
+    if (from.epoch !== undefined && this.tellsOthers(state)) {
       if (restarted) this.parts.fleet.cacheNews.restarted(state.record.id)
       this.parts.fleet.cacheNews.add(state.record.id, batch.changes)
     }
--- a/src/fleet/cache-news.ts
+++ b/src/fleet/cache-news.ts
@@ -5,8 +5,8 @@
 /** Changes kept for others; one that asks too late misses the oldest, which costs it some wrong guesses. */
 const KEPT_CHANGES = 8_192
 
-/** Changes in one answer. */
-const MAX_CHANGES = 1_000
+/** Changes in one answer: those of all gateways together must leave room for calls on a slow link. */
+const MAX_CHANGES = 200
 
 /** Changes at one target. */
 const CacheRow = z.object({
@@ -42,8 +42,9 @@
     this.push({ target, change: undefined })
   }
 
-  /** Changes from `position` on. */
-  since (position: number): CacheBatch {
+  /** Changes from `position` on; without one, where the newest end: who has just started does not catch up. */
+  since (position?: number): CacheBatch {
+    if (position === undefined) return { next: this.dropped + this.entries.length, rows: [] }
     const start = Math.max(0, position - this.dropped)
     const entries = this.entries.slice(start, start + MAX_CHANGES)
     const rows = new Map<string, CacheRow>()
--- a/test/directory/directory.test.ts
+++ b/test/directory/directory.test.ts
@@ -123,6 +123,19 @@
     chai.expect(kept(b.targets)).to.equal(0)
   })
 
+  it('asks a gateway for what it learnt from the present on, so that answers stay small after a restart', async () => {
+    const region = new Region()
+    const a = region.start('a', 'a1')
+    await region.virtual.advance(500)
+    a.targets.cacheNews.add('e1', [{ id: 'p', tokens: 100 }])
+    const b = region.start('b', 'b1')
+    await region.virtual.advance(1_000)
+    chai.expect(kept(b.targets)).to.equal(0)
+    a.targets.cacheNews.add('e1', [{ id: 'p', tokens: 100 }])
+    await region.virtual.advance(300)
+    chai.expect(kept(b.targets)).to.equal(100)
+  })
+
   it('does not let others overrule what it hears from an engine itself', async () => {
     const region = new Region()
     const a = region.start('a', 'a1')
