Bill what a paused entry had replicated since its last flush

Cause: an entry that could not flush while the store was slow and was paused before the store recovered finds its record closed and deleted when it resumes, and gives up what it counted since its last flush. Its peers hold that in replicas, but wrote them only after evidence that the entry had terminated, which a pause never leaves. Holders now write the replica of an entry that is out of contact, once after each update; a record only grows, so a late write cannot bill twice.

Ruled out: the lease holder closing too early (the grace period of 30 s had ended), and a loss in transit (each of the two replicas held all but the last 0.9 s).

--- a/src/daemon/usage-child.ts
+++ b/src/daemon/usage-child.ts
@@ -1,6 +1,6 @@
 /**
  * Makes an entry's usage counters durable: replicates them to peers and flushes them to the store. Also flushes the
- * replicas of dead entries.
+ * replicas of entries that are terminated or out of contact.
  */
 import { hash32 } from '../hash/index.js'
 import type { Logger } from '../log/index.js'
@@ -10,7 +10,7 @@
 import { withTimeout, type Env } from '../time/index.js'
 import {
   REPLICATE_METHOD, REPLICATION_INTERVAL_MS, ReplicaSender, ReplicaStore, UsageFlush, windowAt,
-  type ReplicaOwner, type ReplicaPeer, type StoreHealth, type UsageCounters
+  type ReplicaOwner, type ReplicaOwners, type ReplicaPeer, type StoreHealth, type UsageCounters
 } from '../usage/index.js'
 
 /** Interval between checks for due flushes, in ms. */
@@ -73,7 +73,7 @@
       timers.every(REPLICATION_INTERVAL_MS, () => { this.logFailure('replicate', this.replicate()) }),
       timers.every(CHECK_INTERVAL_MS, () => {
         this.logFailure('flush', this.flushIfDue())
-        this.logFailure('replica', this.replicas.flushTerminated((id) => this.deps.members.isTerminated(id)))
+        this.logFailure('replica', this.replicas.flushLost(this.replicaOwners()))
       })
     )
   }
@@ -88,6 +88,12 @@
     await withTimeout(this.deps.env.timers, LAST_FLUSH_TIMEOUT_MS, lastFlush(), () => undefined)
   }
 
+  private replicaOwners (): ReplicaOwners {
+    const { members } = this.deps
+    const alive = new Set(members.alive().map((peer) => peer.incarnation))
+    return { isAlive: (id) => alive.has(id), isTerminated: (id) => members.isTerminated(id) }
+  }
+
   private async replicate (): Promise<void> {
     await this.sender.replicate(this.deps.members.alive(), this.lastCompleteWindow())
   }
--- a/src/usage/index.ts
+++ b/src/usage/index.ts
@@ -2,7 +2,7 @@
 export { UsageCounters, type ServiceTotals, type UsageDelta } from './usage-counters.js'
 export { UsageFlush, type UsageSource } from './usage-flush.js'
 export { REPLICATE_METHOD, REPLICATION_INTERVAL_MS, ReplicaSender, type ReplicaOwner, type ReplicaPeer } from './replica-sender.js'
-export { ReplicaStore } from './replica-store.js'
+export { ReplicaStore, type ReplicaOwners } from './replica-store.js'
 export { planClose, processOf, type CloseInput, type ClosePlan, type VersionedUsage } from './close-plan.js'
 export { LATE_AFTER_MS, WindowCloser, type WindowCloserDeps, type LeaseTerm } from './window-closer.js'
 export { REPORT_BATCH_ACCOUNTS, reportBatches, ReportSender, reportSubject, type ReportBody, type ReportSenderDeps } from './report-sender.js'
--- a/test/usage/billing.test.ts
+++ b/test/usage/billing.test.ts
@@ -89,6 +89,31 @@
     })
   }
 
+  // The entry cannot flush while the store is down, is paused before the store returns, and finds its record closed when
+  // it resumes. Its peers hold what it counted in between.
+  it('bills what a paused entry had replicated since its last flush', async () => {
+    const world = new UsageWorld()
+    const [paused] = [world.addEntry('a'), world.addEntry('b'), world.addEntry('c')]
+    world.startHolder(1)
+    world.count(paused!, 'site-erie', 5)
+    await world.time.advance(WINDOW_MS)
+    world.platform.store.faults.down = true
+    world.count(paused!, 'site-erie', 4)
+    await world.time.advance(7_000)
+    pause(paused!)
+    paused!.alive = false
+    paused!.terminationKnown = false
+    // A flush that was in progress gives up before the store returns.
+    await world.time.advance(10_000)
+    world.platform.store.faults.down = false
+    for (let s = 0; s < 600 && world.platform.store.peek('usage/entry/0/a') !== undefined; s++) await world.time.advance(1_000)
+    paused!.alive = true
+    paused!.child.start()
+    await world.time.advance(4 * WINDOW_MS)
+    chai.expect(world.billed().get('site-erie')).to.equal(9)
+    chai.expect(world.conflictingReports()).to.deep.equal([])
+  })
+
   it('reports the same figures after the lease holder lost its lease while reports failed', async () => {
     const world = new UsageWorld()
     const entries = [world.addEntry('a'), world.addEntry('b'), world.addEntry('c')]
--- a/test/usage/harness.ts
+++ b/test/usage/harness.ts
@@ -88,6 +88,8 @@
   readonly counters = new UsageCounters()
   readonly handlers = new Map<string, PeerHandler>()
   alive = true
+  /** Whether the others have evidence that a process that is not alive is terminated; a paused one leaves none. */
+  terminationKnown = true
   child: UsageChild
 
   constructor (private readonly world: UsageWorld, readonly id: string, readonly domain: string) {
@@ -106,7 +108,10 @@
       shards: 1,
       members: {
         alive: () => world.alive().filter((other) => other !== id).map((other) => ({ incarnation: other, address: other, domain: world.entries.get(other)!.domain })),
-        isTerminated: (other) => world.entries.get(other)?.alive === false
+        isTerminated: (other) => {
+          const entry = world.entries.get(other)
+          return entry?.alive === false && entry.terminationKnown
+        }
       }
     })
     this.child.start()
