Learn prefill speeds, fetch cached segments between engines, and spare running streams

Engines fetch for themselves when a send names the source, also from one that is leaving. - The backlog counted only calls of the same or a more urgent priority. Prefill that lasts beyond half of the objective for gaps now costs by the number of running streams.

--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -76,6 +76,8 @@
   readonly prefillOnly?: boolean | undefined
   /** Where the target fetches the prompt's KV cache; absent when it prefills the prompt itself. */
   readonly kvSource?: KvSource | undefined
+  /** `ip:port` of a target from which it first fetches the segments that it has not cached itself; absent for none. */
+  readonly fetchFrom?: string | undefined
 }
 
 /** Load that a target reports in a response. */
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -4,6 +4,7 @@
 import type * as time from '../time/index.js'
 import * as cacheUpdates from './cache-updates.js'
 import * as peerLoad from './peer-load.js'
+import * as stageSpeeds from './stage-speeds.js'
 import * as targetState from './target-state.js'
 
 /** Time after a failed read of the target list for which a missing target is not removed, in ms. */
@@ -22,6 +23,8 @@
   private readonly targets = new Map<string, targetState.TargetState>()
   /** Load that other gateways report. */
   readonly peerLoad = new peerLoad.PeerLoad()
+  /** Prefill speeds of the engines, by service and stage. */
+  readonly speeds = new stageSpeeds.StageSpeeds()
   /** Cache changes that this gateway got from engines, for the other gateways. */
   readonly cacheUpdates = new cacheUpdates.CacheUpdates()
   private byService = new Map<string, targetState.TargetState[]>()
@@ -91,7 +94,7 @@
     if (state !== undefined && record.startedAt < state.record.startedAt) return
     if (state === undefined || isRestart(state.record, record)) {
       if (state !== undefined) this.remove(state)
-      this.targets.set(record.id, new targetState.TargetState(record, this.peerLoad))
+      this.targets.set(record.id, new targetState.TargetState(record, this))
       this.deps.log.info({ target: record.id, service: record.service, address: record.address, domain: record.domain, stage: record.stage, leaving: record.leaving, preemptible: record.preemptible }, 'target_listed')
       return
     }
--- a/src/fleet/peer-load.ts
+++ b/src/fleet/peer-load.ts
@@ -4,10 +4,16 @@
 /** Age up to which a report counts, in ms. */
 const REPORT_LIFE_MS = 1_000
 
-/** Load of one gateway on one target: the target's id, calls in flight, then pending prefill tokens by priority. */
-export const LoadRow = z.tuple([z.string(), z.int()]).rest(z.int())
+/** Load of one gateway on one target: the target's id, calls in flight, and prompt tokens still to be prefilled. */
+export const LoadRow = z.tuple([z.string(), z.int(), z.int()])
 export type LoadRow = z.infer<typeof LoadRow>
 
+/** Sums of the rows of one target. */
+interface LoadSum {
+  running: number
+  prefillTokens: number
+}
+
 /** A gateway's report of its load on all targets. */
 interface LoadReport {
   readonly reportedAt: number
@@ -21,8 +27,7 @@
 export class PeerLoad {
   /** By gateway, oldest report first. */
   private readonly reports = new Map<string, LoadReport>()
-  /** By target: calls in flight, then pending prefill tokens by priority. */
-  private readonly sums = new Map<string, number[]>()
+  private readonly sums = new Map<string, LoadSum>()
 
   /** Applies the report of a gateway, received at `now`. */
   apply (gateway: string, rows: readonly LoadRow[], now: number): void {
@@ -33,20 +38,16 @@
 
   /** Calls of other gateways in flight at a target. */
   running (target: string, now: number): number {
-    return this.currentSums(target, now)?.[0] ?? 0
+    return this.currentSum(target, now)?.running ?? 0
   }
 
-  /** Pending prefill tokens of other gateways at a target that go ahead of a new call with `priority`. */
-  tokensAhead (target: string, priority: number, now: number): number {
-    const sums = this.currentSums(target, now)
-    if (sums === undefined) return 0
-    let ahead = 0
-    for (let index = 1; index < sums.length && index - 1 <= priority; index++) ahead += sums[index]!
-    return ahead
+  /** Prompt tokens of other gateways' calls that a target has still to prefill. */
+  pendingPrefillTokens (target: string, now: number): number {
+    return this.currentSum(target, now)?.prefillTokens ?? 0
   }
 
   // Drops the reports that are too old first.
-  private currentSums (target: string, now: number): readonly number[] | undefined {
+  private currentSum (target: string, now: number): LoadSum | undefined {
     for (const [gateway, report] of this.reports) {
       if (now - report.reportedAt < REPORT_LIFE_MS) break
       this.removeReport(gateway)
@@ -62,10 +63,11 @@
   }
 
   // All counts are integers, so that subtracting what was added leaves exactly 0.
-  private addToSums ([target, ...counts]: LoadRow, sign: 1 | -1): void {
-    const sums = this.sums.get(target) ?? []
-    for (const [index, count] of counts.entries()) sums[index] = (sums[index] ?? 0) + sign * count
-    if (sums.every((sum) => sum === 0)) this.sums.delete(target)
-    else this.sums.set(target, sums)
+  private addToSums ([target, running, prefillTokens]: LoadRow, sign: 1 | -1): void {
+    const sum = this.sums.get(target) ?? { running: 0, prefillTokens: 0 }
+    sum.running += sign * running
+    sum.prefillTokens += sign * prefillTokens
+    if (sum.running === 0 && sum.prefillTokens === 0) this.sums.delete(target)
+    else this.sums.set(target, sum)
   }
 }
--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -1,20 +1,28 @@
 /** State of one target as this gateway knows it. */
 import type * as calls from '../call/index.js'
 import type * as serving from '../serving/index.js'
-import * as backlog from './backlog.js'
 import * as cacheEstimate from './cache-estimate.js'
 import * as failureRecord from './failure-record.js'
 import type * as peerLoad from './peer-load.js'
+import type * as prefillSpeed from './prefill-speed.js'
+import type * as stageSpeeds from './stage-speeds.js'
 
 /** Age up to which a load that the target reported counts, in ms. */
 const REPORTED_LOAD_LIFE_MS = 1_000
 
-/** Mutable state of a target: load, cache and failures; owned by the {@link Fleet}. */
+/** What a target shares with others of the fleet. */
+export interface FleetKnowledge {
+  /** Load that other gateways report. */
+  readonly peerLoad: peerLoad.PeerLoad
+  readonly speeds: stageSpeeds.StageSpeeds
+}
+
+/** Mutable state of a target: load, speed, cache and failures; owned by the {@link Fleet}. */
 export class TargetState {
   readonly failures = new failureRecord.FailureRecord()
   readonly cache = new cacheEstimate.CacheEstimate()
-  /** Pending prefill tokens of this gateway's calls at the target. */
-  readonly prefillBacklog = new backlog.Backlog()
+  /** Prompt tokens of this gateway's calls that the target has still to prefill. */
+  pendingPrefillTokens = 0
   /** This gateway's calls in flight. */
   running = 0
   /** When the last byte arrived from the target, in ms on the monotonic clock. */
@@ -28,8 +36,10 @@
   /** Calls of other gateways, by the target's last report. */
   private otherCalls = 0
   private reportedAt = -Infinity
+  /** Speed of the engine in its present stage; undefined before the first use, and for plain services. */
+  private speed: { readonly stage: serving.Stage, readonly record: prefillSpeed.PrefillSpeed } | undefined
 
-  constructor (public record: serving.TargetRecord, private readonly peerLoad: peerLoad.PeerLoad) {}
+  constructor (public record: serving.TargetRecord, private readonly known: FleetKnowledge) {}
 
   /** Whether new calls may be sent to the target. */
   acceptsCalls (now: number): boolean {
@@ -48,17 +58,42 @@
    */
   load (now: number): number {
     const reportWeight = Math.max(0, 1 - (now - this.reportedAt) / REPORTED_LOAD_LIFE_MS)
-    return this.running + Math.max(this.peerLoad.running(this.record.id, now), this.otherCalls * reportWeight)
+    return this.running + Math.max(this.known.peerLoad.running(this.record.id, now), this.otherCalls * reportWeight)
+  }
+
+  /**
+   * Prompt tokens of all gateways that the target prefills before those of a new call. Priorities make no difference: an
+   * engine prefills the prompts that it has admitted in the order of their arrival.
+   */
+  prefillTokensAhead (now: number): number {
+    return this.pendingPrefillTokens + this.known.peerLoad.pendingPrefillTokens(this.record.id, now)
+  }
+
+  /** Prefill speed of the engine, in tokens per ms. */
+  prefillTokensPerMs (now: number): number {
+    return this.currentSpeed().tokensPerMs(now)
+  }
+
+  /** Notes that the engine prefilled `tokens` in `ms`; its stage learns from it too. */
+  notePrefill (tokens: number, ms: number, now: number): void {
+    const speed = this.currentSpeed()
+    speed.note(tokens, ms, now)
+    this.known.speeds.of(this.record.service, this.stage).note(tokens, ms, now)
+  }
+
+  private get stage (): serving.Stage {
+    return this.record.stage ?? 'decode'
   }
 
-  /** Pending prefill tokens of all gateways ahead of a new call with `priority`. */
-  prefillTokensAhead (priority: number, now: number): number {
-    return this.prefillBacklog.tokensAhead(priority) + this.peerLoad.tokensAhead(this.record.id, priority, now)
+  private currentSpeed (): prefillSpeed.PrefillSpeed {
+    const { stage } = this
+    if (this.speed?.stage !== stage) this.speed = { stage, record: this.known.speeds.createEngineSpeed(this.record.service, stage) }
+    return this.speed.record
   }
 
   /** Load row for the other gateways; undefined while this gateway has no call at the target. */
   toRow (): peerLoad.LoadRow | undefined {
     if (this.running === 0) return undefined
-    return [this.record.id, this.running, ...this.prefillBacklog.toRow()]
+    return [this.record.id, this.running, Math.round(this.pendingPrefillTokens)]
   }
 }
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -66,7 +66,8 @@
   async run (): Promise<AttemptResult> {
     const { call, plan, state } = this.spec
     state.running++
-    state.prefillBacklog.add(plan.priority, this.prefillTokens)
+    state.pendingPrefillTokens += this.prefillTokens
+    if (call.prompt !== undefined && plan.kvSource === undefined) state.cache.addPending(call.prompt)
     try {
       return await new Promise<AttemptResult>((resolve) => {
         this.finish = resolve
@@ -168,7 +169,10 @@
 
   // Removes the tokens from the backlog: the prompt is prefilled, or the attempt has ended.
   private endPrefill (): void {
-    if (this.prefillTokens > 0) this.spec.state.prefillBacklog.add(this.spec.plan.priority, -this.prefillTokens)
+    if (this.prefillTokens < 0) return
+    const { call, plan, state } = this.spec
+    state.pendingPrefillTokens -= this.prefillTokens
+    if (call.prompt !== undefined && plan.kvSource === undefined) state.cache.removePending(call.prompt)
     this.prefillTokens = -1
   }
 
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -18,6 +18,15 @@
 const RETRY_AFTER_MIN_MS = 150
 const RETRY_AFTER_MAX_MS = 500
 
+/** Shortest prefill that counts as a sample of an engine's speed, in tokens. */
+const MIN_SPEED_SAMPLE_TOKENS = 1_000
+
+/** Part of the time of a prefill that does not depend on the prompt, in ms. */
+const PREFILL_OVERHEAD_MS = 12
+
+/** What distinguishes the sends of one placement. */
+type SendOptions = Pick<calls.SendPlan, 'prefillOnly' | 'kvSource' | 'fetchFrom'>
+
 /** Dependencies of a forwarder. */
 export interface ForwarderDeps extends attempt.AttemptDeps {
   readonly placerFor: (call: calls.Call) => placement.Placer
@@ -139,7 +148,7 @@
   }
 
   private async prefillAt (target: fleet.TargetState, choice: placement.Placement): Promise<string | undefined> {
-    const result = await this.send(target, choice, { prefillOnly: true })
+    const result = await this.send(target, choice, { prefillOnly: true, fetchFrom: choice.fetchFrom?.record.address })
     const handle = result.kind === 'answered' && result.head.status === 200 ? this.deps.protocol.decodeKvHandle(result.body) : undefined
     const firstPrefill = handle !== undefined && !this.prefillAccepted
     if (firstPrefill) this.prefillAccepted = true
@@ -154,7 +163,7 @@
   }
 
   private async executeAt (target: fleet.TargetState, choice: placement.Placement, kvSource: calls.KvSource | undefined, prefillTarget?: fleet.TargetState): Promise<boolean> {
-    const result = await this.send(target, choice, { kvSource })
+    const result = await this.send(target, choice, kvSource === undefined ? { fetchFrom: choice.fetchFrom?.record.address } : { kvSource })
     if (result.kind === 'not_run') {
       if (result.written) this.countedAttempts++
       if (prefillTarget !== undefined && result.written) prefillTarget.kvTransferFailedAt = this.now()
@@ -190,12 +199,13 @@
     return true
   }
 
-  private async send (state: fleet.TargetState, choice: placement.Placement, options: { prefillOnly?: boolean, kvSource?: calls.KvSource | undefined }): Promise<attempt.AttemptResult> {
+  private async send (state: fleet.TargetState, choice: placement.Placement, options: SendOptions): Promise<attempt.AttemptResult> {
     const { call } = this
     const sentAt = this.now()
     const plan: calls.SendPlan = { target: state.record, remainingMs: call.deadlineAt - sentAt, priority: choice.priority, resumeAfter: this.progress.lastId, ...options }
     const stream = call.route.streaming && options.prefillOnly !== true ? { reply: this.reply, progress: this.progress } : undefined
-    const prefillTokens = options.kvSource === undefined && call.prompt !== undefined ? Math.max(0, call.prompt.promptTokens - state.cache.cachedTokens(call.prompt)) : 0
+    const prefillTokens = options.kvSource === undefined ? choice.prefillTokens ?? 0 : 0
+    const tokensAhead = state.prefillTokensAhead(sentAt)
     const targetAttempt = new attempt.Attempt(this.deps, { call, plan, state, stream, prefillTokens, ...stallTimeouts.stallTimeouts(call, choice.expectedMs, options.prefillOnly === true) })
     this.currentAttempt = targetAttempt
     const result = await targetAttempt.run()
@@ -212,15 +222,26 @@
       waited_ms: Math.round(sentAt - call.arrivedAt),
       expected_ms: Math.round(choice.expectedMs),
       first_event_ms: targetAttempt.firstEventMs,
+      longest_gap_ms: stream === undefined ? undefined : Math.round(this.progress.longestGapMs),
       ms: Math.round(endedAt - sentAt),
       prefill_tokens: prefillTokens,
+      tokens_ahead: tokensAhead,
+      fetch_from: options.fetchFrom,
       kind: result.kind,
       status: result.kind === 'answered' ? result.head.status : undefined
     }, 'attempt_ended')
     this.recordOutcome(result, state, sentAt, options)
+    if (options.fetchFrom === undefined) this.recordPrefill({ tokens: prefillTokens, tokensAhead, ms: prefillMsOf(result, targetAttempt, endedAt - sentAt) }, state)
     return result
   }
 
+  // Only prompts that are long enough, and that did not wait for long behind others, show how fast an engine is.
+  private recordPrefill (prefill: { readonly tokens: number, readonly tokensAhead: number, readonly ms: number | undefined }, state: fleet.TargetState): void {
+    const { tokens, tokensAhead, ms } = prefill
+    if (ms === undefined || tokens < MIN_SPEED_SAMPLE_TOKENS || tokensAhead > tokens) return
+    state.notePrefill(tokens + tokensAhead, Math.max(1, ms - PREFILL_OVERHEAD_MS), this.now())
+  }
+
   private recordOutcome (result: attempt.AttemptResult, state: fleet.TargetState, sentAt: number, options: { kvSource?: calls.KvSource | undefined }): void {
     const now = this.now()
     if (result.kind === 'streamed' || (result.kind === 'answered' && result.head.status < 500)) state.failures.record('ok', sentAt, now)
@@ -285,7 +306,13 @@
   }
 }
 
-function phaseOf (options: { prefillOnly?: boolean, kvSource?: calls.KvSource | undefined }): 'read' | 'run_handed_over' | 'run' {
+/** Time until a prompt was prefilled, in ms; undefined when the attempt does not show it. */
+function prefillMsOf (result: attempt.AttemptResult, targetAttempt: attempt.Attempt, ms: number): number | undefined {
+  if (result.kind === 'streamed') return targetAttempt.firstEventMs
+  return result.kind === 'answered' && result.head.status === 200 ? ms : undefined
+}
+
+function phaseOf (options: SendOptions): 'read' | 'run_handed_over' | 'run' {
   if (options.prefillOnly === true) return 'read'
   return options.kvSource === undefined ? 'run' : 'run_handed_over'
 }
--- a/src/forward/stream-progress.ts
+++ b/src/forward/stream-progress.ts
@@ -7,6 +7,8 @@
   private relayedId: string | undefined
   private relayedAt: number | undefined
   private readonly label: string
+  /** Longest time between two events so far, in ms; 0 before the second. */
+  longestGapMs = 0
 
   constructor (private readonly call: calls.Call, private readonly metrics: metrics.Metrics) {
     this.relayedId = call.resumeAfter
@@ -26,8 +28,13 @@
   /** Notes that events up to `id` were relayed. */
   noteRelayed (id: string | undefined, now: number): void {
     if (this.relayedAt === undefined) this.metrics.recordDuration('godwitpoint_first_token', now - this.call.arrivedAt, this.label)
-    else this.metrics.recordDuration('godwitpoint_between_tokens', now - this.relayedAt, this.label)
+    else this.noteGap(now - this.relayedAt)
     this.relayedId = id ?? this.relayedId
     this.relayedAt = now
   }
+
+  private noteGap (gapMs: number): void {
+    this.metrics.recordDuration('godwitpoint_between_tokens', gapMs, this.label)
+    this.longestGapMs = Math.max(this.longestGapMs, gapMs)
+  }
 }
--- /dev/null
+++ b/src/placement/affinity.ts
@@ -0,0 +1,30 @@
+/** Affinity between prompt segments and engines: the same order of engines at all gateways. */
+import type * as calls from '../call/index.js'
+import type * as fleet from '../fleet/index.js'
+import * as hash from '../hash/index.js'
+
+/**
+ * Id of the segment that determines the affinity target: the last one that other requests may share. Without a shared
+ * segment it is the request's own segment, and without segments the id of the call.
+ */
+export function affinityKey (call: calls.Call): string {
+  const segments = call.prompt?.segments ?? []
+  return segments[segments.length - 2]?.id ?? segments[0]?.id ?? call.id
+}
+
+/**
+ * Engines by weighted rendezvous hashing, the affinity target first. The weight is the prefill speed of the stage, so a
+ * prefill-only engine is the affinity target of more segments than a mixed one.
+ */
+export function rankByAffinity (key: string, states: readonly fleet.TargetState[], weights: Readonly<Record<'prefill' | 'decode', number>>): fleet.TargetState[] {
+  return states
+    .map((state) => ({ state, score: affinityScore(key, state.record.id, weights[state.record.stage ?? 'decode']) }))
+    .sort((a, b) => b.score - a.score)
+    .map((entry) => entry.state)
+}
+
+// Maps the hash to a number below 1, so that its logarithm is never 0.
+function affinityScore (key: string, id: string, weight: number): number {
+  const uniform = (hash.hash32(`${key}\u0000${id}`) + 1) / 2 ** 32
+  return -weight / Math.log(Math.min(uniform, 1 - 2 ** -33))
+}
--- a/src/placement/engine-placer.ts
+++ b/src/placement/engine-placer.ts
@@ -1,7 +1,8 @@
 /**
  * Placement of model calls, for prompts whose shared segments are larger than the request's own segment. Prefill is
- * cheapest where the shared segments are cached, so a segment has the same affinity target at all gateways. Calls go
- * elsewhere when the backlog of the affinity target costs more than to prefill the segment again.
+ * cheapest where the shared segments are cached; an engine without them fetches them from one that has them cached,
+ * which takes longer than to use them in place and less than to prefill them again. While a segment is cached nowhere,
+ * all gateways send its calls to the same affinity target.
  *
  * Either a mixed engine executes the complete call, or a prefill-only engine prefills the prompt and a mixed engine
  * generates the output after a KV transfer.
@@ -9,17 +10,15 @@
 import * as fleet from '../fleet/index.js'
 import * as admission from '../admission/index.js'
 import type * as calls from '../call/index.js'
-import * as hash from '../hash/index.js'
 import type * as time from '../time/index.js'
+import * as affinity from './affinity.js'
 import * as share from './connection-share.js'
+import * as kvTransfer from './kv-transfer.js'
+import * as segmentSource from './segment-source.js'
 import type * as types from './types.js'
 
-/** Prefill rates of a prefill-only engine and of a mixed engine, in tokens per ms. */
-const PREFILL_ONLY_TOKENS_PER_MS = 150
-const MIXED_PREFILL_TOKENS_PER_MS = 42
-
 /** Part of the time to the first event that does not depend on the prompt or the load, in ms. */
-const FIRST_EVENT_OVERHEAD_MS = 65
+const FIRST_EVENT_OVERHEAD_MS = 35
 
 /** A call keeps its own priority while its expected time is at most the latency objective times this factor. */
 const SLO_TOLERANCE_FACTOR = 1.1
@@ -27,19 +26,31 @@
 /** Engines count as busy when the expected time of a call is above this share of its latency objective. */
 const BUSY_SLO_SHARE = 0.7
 
-/** Time of a KV transfer from another engine, in ms. */
-const KV_TRANSFER_MS = 10
-
 /** Time that each call in flight adds to the first event of the next call, in ms. */
 const DELAY_PER_CALL_MS = 0.5
 
 /** Weight of prefill time in the cost: to prefill what another target has cached costs more than the time it takes. */
 const PREFILL_COST_WEIGHT = 1.5
 
-/** Share of the shared segments assumed to be cached at the affinity target while none is known to be cached there. */
+/** Cost of a second send, to a prefill-only engine before the one that generates, in ms. */
+const SECOND_SEND_COST_MS = 8
+
+/**
+ * Share of the objective for the time between events that a mixed engine may spend on prefill at a time. Its streams get
+ * fewer events meanwhile, and the rest is for the time between events without prefill.
+ */
+const PREFILL_GAP_SHARE = 0.5
+
+/** Cost of a gap above the objective in one running stream, in ms. */
+const LATE_STREAM_COST_MS = 250
+
+/** Share of the shared segments assumed to be cached at the affinity target while they are known to be cached nowhere. */
 const AFFINITY_CACHED_SHARE = 0.3
 
-/** Cost of a target in another failure domain, in ms; a KV transfer between failure domains costs twice as much. */
+/** Weights of the stages in the affinity: a prefill-only engine prefills about this many times as fast as a mixed one. */
+const AFFINITY_WEIGHTS = { prefill: 3, decode: 1 }
+
+/** Cost of a target in another failure domain than this gateway, in ms. */
 const OTHER_DOMAIN_COST_MS = 6
 
 /** Cost of a target whose calls all fail, in ms; in proportion to the failure rate otherwise. */
@@ -55,8 +66,35 @@
 interface Candidate extends types.Placement {
   /** Expected time, with weights and penalties, in ms. */
   readonly cost: number
+}
+
+/** What a prompt needs at one engine before its first event. */
+interface PrefillWork {
   /** Uncached tokens of the prompt, which have to be prefilled. */
   readonly prefillTokens: number
+  /** Where other segments are fetched from; undefined for no fetch. */
+  readonly fetchFrom: fleet.TargetState | undefined
+  /** Time of the fetch, in ms. */
+  readonly fetchMs: number
+}
+
+/** Inputs of one placement that are the same for all candidates. */
+interface PlacementContext {
+  readonly call: calls.Call
+  readonly now: number
+  readonly affinityTarget: fleet.TargetState | undefined
+  readonly sources: segmentSource.SegmentSources
+  /** The mixed engine of lowest cost in each failure domain. */
+  readonly mixedTargets: readonly MixedTarget[]
+}
+
+/** A mixed engine that may generate the output. */
+interface MixedTarget {
+  readonly state: fleet.TargetState
+  /** Expected delay by its load, in ms. */
+  readonly delayMs: number
+  /** Delay with penalties and a random part of up to 1 ms, which breaks ties. */
+  readonly cost: number
 }
 
 /** Places model calls by cached tokens, prefill backlog, load, recent failures and failure domain. */
@@ -72,14 +110,15 @@
   place (call: calls.Call, tried: ReadonlySet<string>): types.Placement | undefined {
     const now = this.env.clock.now()
     const maxRunning = share.connectionShare(call.service, this.gatewayCount())
-    const usableTargets = this.fleet.ofService(call.service.name).filter((state) => !tried.has(state.record.id) && state.acceptsCalls(now) && state.running < maxRunning)
-    const byAffinity = rankByAffinity(affinityKey(call), usableTargets)
-    const atOwnPriority = this.cheapestCandidate(call, byAffinity, call.priority, now)
-    if (atOwnPriority === undefined) return undefined
-    const chosen = this.isDeferred(call, atOwnPriority.expectedMs + now - call.arrivedAt) ? this.cheapestCandidate(call, byAffinity, fleet.deferredPriority(call.priority), now) : atOwnPriority
+    const allTargets = this.fleet.ofService(call.service.name)
+    const usableTargets = allTargets.filter((state) => !tried.has(state.record.id) && state.acceptsCalls(now) && state.running < maxRunning)
+    const byAffinity = affinity.rankByAffinity(affinity.affinityKey(call), usableTargets, AFFINITY_WEIGHTS)
+    const sources = new segmentSource.SegmentSources(call.prompt, allTargets, now)
+    const chosen = this.cheapestCandidate(call, byAffinity, sources, now)
+    if (chosen === undefined) return undefined
     // The prefill work of a call counts once for its account, not again for its retries.
-    if (tried.size === 0 && call.account !== undefined) this.accountWork.add(call.account, chosen?.prefillTokens ?? 0)
-    return chosen
+    if (tried.size === 0 && call.account !== undefined) this.accountWork.add(call.account, chosen.prefillTokens ?? 0)
+    return this.isDeferred(call, chosen.expectedMs + now - call.arrivedAt) ? { ...chosen, priority: fleet.deferredPriority(call.priority) } : chosen
   }
 
   // While engines are busy, calls of an account that exceeds its share are deferred too. `expectedMs` counts from the
@@ -92,13 +131,13 @@
 
   // Considers targets in order of affinity, in batches. After a batch, the search ends if the cheapest so far meets the
   // objective; otherwise an idle target anywhere in a large fleet is still found.
-  private cheapestCandidate (call: calls.Call, byAffinity: readonly fleet.TargetState[], priority: number, now: number): Candidate | undefined {
-    const mixedTarget = this.cheapestMixedTarget(byAffinity, priority, now)
-    if (mixedTarget === undefined) return undefined
+  private cheapestCandidate (call: calls.Call, byAffinity: readonly fleet.TargetState[], sources: segmentSource.SegmentSources, now: number): Candidate | undefined {
+    const mixedTargets = this.cheapestMixedTargets(byAffinity, call.route.gapSloMs, now)
+    const context: PlacementContext = { call, now, affinityTarget: byAffinity[0], sources, mixedTargets }
     let cheapest: Candidate | undefined
     for (const [index, state] of byAffinity.entries()) {
       if (index >= CANDIDATE_BATCH_SIZE && index % CANDIDATE_BATCH_SIZE === 0 && cheapest !== undefined && this.meetsObjective(call, cheapest, now)) return cheapest
-      const candidate = this.estimateCandidate(call, state, index === 0, mixedTarget, priority, now)
+      const candidate = this.estimateCandidate(state, context)
       if (candidate !== undefined && candidate.cost < (cheapest?.cost ?? Infinity)) cheapest = candidate
     }
     return cheapest
@@ -108,56 +147,86 @@
     return candidate.expectedMs + now - call.arrivedAt <= call.route.sloMs * SLO_TOLERANCE_FACTOR
   }
 
-  // Expected time and cost when the target of `state` prefills the prompt; `mixedTarget` generates if that target only
-  // prefills. Undefined while it is paused after a failed KV transfer.
-  private estimateCandidate (call: calls.Call, state: fleet.TargetState, isAffinityTarget: boolean, mixedTarget: fleet.TargetState, priority: number, now: number): Candidate | undefined {
+  // Expected time and cost when the target of `state` prefills the prompt. Undefined while it is paused after a failed KV
+  // transfer, or when it only prefills and no mixed engine is left.
+  private estimateCandidate (state: fleet.TargetState, context: PlacementContext): Candidate | undefined {
+    const { call, now } = context
     const prefillOnly = state.record.stage === 'prefill'
     if (prefillOnly && now - state.kvTransferFailedAt < KV_TRANSFER_PAUSE_MS) return undefined
-    const tokensPerMs = prefillOnly ? PREFILL_ONLY_TOKENS_PER_MS : MIXED_PREFILL_TOKENS_PER_MS
-    const prefillTokens = uncachedTokens(call, state, isAffinityTarget)
-    const backlogMs = state.prefillTokensAhead(priority, now) / tokensPerMs
-    const prefillMs = prefillTokens / tokensPerMs
-    const target = prefillOnly ? mixedTarget : state
-    const targetDelayMs = target.load(now) * DELAY_PER_CALL_MS + (prefillOnly ? KV_TRANSFER_MS + target.prefillTokensAhead(priority, now) / MIXED_PREFILL_TOKENS_PER_MS : 0)
-    const domainCostMs = (state.record.domain === this.ownDomain ? 0 : OTHER_DOMAIN_COST_MS) + (target.record.domain === state.record.domain ? 0 : 2 * OTHER_DOMAIN_COST_MS)
+    const tokensPerMs = state.prefillTokensPerMs(now)
+    const work = this.prefillWork(state, tokensPerMs, context)
+    const backlogMs = state.prefillTokensAhead(now) / tokensPerMs
+    const prefillMs = work.prefillTokens / tokensPerMs
+    const handover = prefillOnly ? this.cheapestHandover(state, context) : undefined
+    if (prefillOnly && handover === undefined) return undefined
+    const target = handover?.mixed.state ?? state
+    const laterMs = handover === undefined ? state.load(now) * DELAY_PER_CALL_MS : handover.transferMs + handover.mixed.delayMs
+    const domainCostMs = state.record.domain === this.ownDomain ? 0 : OTHER_DOMAIN_COST_MS
     const failureCostMs = FAILURE_COST_MS * Math.max(state.failures.failureRate(now), target.failures.failureRate(now))
     return {
       target,
       prefillTarget: prefillOnly ? state : undefined,
-      priority,
-      prefillTokens,
-      expectedMs: backlogMs + prefillMs + targetDelayMs + FIRST_EVENT_OVERHEAD_MS,
-      cost: backlogMs + prefillMs * PREFILL_COST_WEIGHT + targetDelayMs + domainCostMs + failureCostMs
+      fetchFrom: work.fetchFrom,
+      priority: call.priority,
+      prefillTokens: work.prefillTokens,
+      expectedMs: backlogMs + work.fetchMs + prefillMs + laterMs + FIRST_EVENT_OVERHEAD_MS,
+      cost: backlogMs + work.fetchMs + prefillMs * PREFILL_COST_WEIGHT + laterMs + (prefillOnly ? SECOND_SEND_COST_MS : lateStreamCostMs(state.load(now), backlogMs + prefillMs, call.route.gapSloMs)) + domainCostMs + failureCostMs
     }
   }
 
-  // The mixed engine that generates for prefill-only engines: the one of lowest cost by load, prefill backlog, failure
-  // rate and failure domain; a random part of up to 1 ms breaks ties.
-  private cheapestMixedTarget (states: readonly fleet.TargetState[], priority: number, now: number): fleet.TargetState | undefined {
-    let cheapest: fleet.TargetState | undefined
-    let lowestCost = Infinity
-    for (const state of states) {
-      if (state.record.stage === 'prefill') continue
-      const cost = state.load(now) * DELAY_PER_CALL_MS + state.prefillTokensAhead(priority, now) / MIXED_PREFILL_TOKENS_PER_MS + FAILURE_COST_MS * state.failures.failureRate(now) +
-        (state.record.domain === this.ownDomain ? 0 : OTHER_DOMAIN_COST_MS) + this.env.random.next()
-      if (cost >= lowestCost) continue
-      lowestCost = cost
-      cheapest = state
+  // Fetches segments that another engine has cached when that is faster than to prefill them.
+  private prefillWork (state: fleet.TargetState, tokensPerMs: number, context: PlacementContext): PrefillWork {
+    const { call: { prompt, service }, sources, affinityTarget } = context
+    if (prompt === undefined) return { prefillTokens: 0, fetchFrom: undefined, fetchMs: 0 }
+    const cached = state.cache.tokensCachedOnArrival(prompt)
+    const source = kvTransfer.isRateKnown(service.engine) ? sources.bestFor(state) : undefined
+    if (source !== undefined && source.cachedTokens > cached) {
+      const fetchMs = kvTransfer.transferMs(service.engine, source.cachedTokens - cached, source.state.record, state.record)
+      if (fetchMs < (source.cachedTokens - cached) / tokensPerMs) return { prefillTokens: Math.max(0, prompt.promptTokens - source.cachedTokens), fetchFrom: source.state, fetchMs }
+    }
+    const assumed = cached === 0 && state === affinityTarget ? sharedTokens(prompt) * AFFINITY_CACHED_SHARE : cached
+    return { prefillTokens: Math.max(0, prompt.promptTokens - assumed), fetchFrom: undefined, fetchMs: 0 }
+  }
+
+  // The mixed engine that generates after `state` has prefilled the prompt.
+  private cheapestHandover (state: fleet.TargetState, { call, mixedTargets }: PlacementContext): Handover | undefined {
+    let cheapest: Handover | undefined
+    for (const mixed of mixedTargets) {
+      const transferMs = kvTransfer.transferMs(call.service.engine, call.prompt?.promptTokens ?? 0, state.record, mixed.state.record)
+      if (cheapest === undefined || mixed.cost + transferMs < cheapest.mixed.cost + cheapest.transferMs) cheapest = { mixed, transferMs }
     }
     return cheapest
   }
+
+  // The mixed engines of lowest cost by load, prefill backlog, failure rate and failure domain, one in each domain.
+  private cheapestMixedTargets (states: readonly fleet.TargetState[], gapSloMs: number, now: number): MixedTarget[] {
+    const byDomain = new Map<string, MixedTarget>()
+    for (const state of states) {
+      const { stage, domain } = state.record
+      if (stage === 'prefill') continue
+      const backlogMs = state.prefillTokensAhead(now) / state.prefillTokensPerMs(now)
+      const delayMs = state.load(now) * DELAY_PER_CALL_MS + backlogMs
+      const cost = delayMs + lateStreamCostMs(1, backlogMs, gapSloMs) + FAILURE_COST_MS * state.failures.failureRate(now) + (domain === this.ownDomain ? 0 : OTHER_DOMAIN_COST_MS) + this.env.random.next()
+      if (cost < (byDomain.get(domain)?.cost ?? Infinity)) byDomain.set(domain, { state, delayMs, cost })
+    }
+    return [...byDomain.values()]
+  }
+}
+
+/** A mixed engine that generates after a KV transfer, and the time of the transfer in ms. */
+interface Handover {
+  readonly mixed: MixedTarget
+  readonly transferMs: number
 }
 
 /**
- * Prompt tokens that a target is expected to prefill. While none of the prompt is known to be cached at the affinity
- * target, a share of the shared segments is assumed to be, since other gateways send them there too.
+ * Cost of prefill that keeps a mixed engine busy for `prefillMs` while it generates `streams`: they exceed the objective
+ * for the time between events.
  */
-function uncachedTokens (call: calls.Call, state: fleet.TargetState, isAffinityTarget: boolean): number {
-  const prompt = call.prompt
-  if (prompt === undefined) return 0
-  const cached = state.cache.cachedTokens(prompt)
-  if (!isAffinityTarget || cached > 0) return Math.max(0, prompt.promptTokens - cached)
-  return Math.max(0, prompt.promptTokens - sharedTokens(prompt) * AFFINITY_CACHED_SHARE)
+function lateStreamCostMs (streams: number, prefillMs: number, gapSloMs: number): number {
+  const toleratedMs = gapSloMs * PREFILL_GAP_SHARE
+  if (prefillMs <= toleratedMs) return 0
+  return streams * LATE_STREAM_COST_MS * Math.min(1, (prefillMs - toleratedMs) / toleratedMs)
 }
 
 /** Tokens of all segments except the last, which is the request's own. */
@@ -166,28 +235,3 @@
   for (const segment of prompt.segments.slice(0, -1)) tokens += segment.tokens
   return tokens
 }
-
-/**
- * Id of the segment that determines the affinity target: the last one that other requests may share. Without a shared
- * segment it is the request's own segment, and without segments the id of the call.
- */
-function affinityKey (call: calls.Call): string {
-  const segments = call.prompt?.segments ?? []
-  return segments[segments.length - 2]?.id ?? segments[0]?.id ?? call.id
-}
-
-// Weighted rendezvous hashing, the affinity target first. The weight is the prefill rate, so a prefill-only engine is
-// the affinity target of more segments than a mixed one: 150 / 42, about 3.6 times as many.
-function rankByAffinity (key: string, states: readonly fleet.TargetState[]): fleet.TargetState[] {
-  return states
-    .map((state) => ({ state, score: affinityScore(key, state) }))
-    .sort((a, b) => b.score - a.score)
-    .map((entry) => entry.state)
-}
-
-// Maps the hash to a number below 1, so that its logarithm is never 0.
-function affinityScore (key: string, state: fleet.TargetState): number {
-  const uniform = (hash.hash32(`${key}\u0000${state.record.id}`) + 1) / 2 ** 32
-  const weight = state.record.stage === 'prefill' ? PREFILL_ONLY_TOKENS_PER_MS : MIXED_PREFILL_TOKENS_PER_MS
-  return -weight / Math.log(Math.min(uniform, 1 - 2 ** -33))
-}
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -7,6 +7,10 @@
   readonly target: fleet.TargetState
   /** Prefills the prompt before a KV transfer to `target`; absent when `target` prefills it itself. */
   readonly prefillTarget?: fleet.TargetState | undefined
+  /** From where the engine that prefills first fetches segments that it has not cached; absent for none. */
+  readonly fetchFrom?: fleet.TargetState | undefined
+  /** Tokens that the engine is expected to prefill; absent for plain calls. */
+  readonly prefillTokens?: number | undefined
   /** Priority under which the call is sent: its own, or a deferred one. */
   readonly priority: number
   /** Expected time to the first event, in ms. */
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -23,6 +23,8 @@
   readonly timeoutMs: number
   /** Latency objective: time to the response, or to its first event, in ms. */
   readonly sloMs: number
+  /** Objective for the time between events: the longest gap of a stream that is on time, in ms; infinite without one. */
+  readonly gapSloMs: number
   /** Time without a byte after which callers give up, in ms. */
   readonly callerIdleTimeoutMs: number
   /** 0 is the most urgent. */
@@ -40,6 +42,10 @@
   readonly slots: number
   /** KV cache capacity of an engine, in tokens. */
   readonly kvCapacityTokens: number
+  /** Size of the KV cache of one token, in bytes; absent when unknown. */
+  readonly kvTokenBytes?: number | undefined
+  /** Rate of an engine's link for KV transfers, in bytes per ms; absent when unknown. */
+  readonly kvLinkBytesPerMs?: number | undefined
 }
 
 /** Limits and prices for ordering targets of a service. */
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -88,12 +88,12 @@
 })
 
 describe('PeerLoad', () => {
-  it('adds up the reports of other gateways by priority, and drops old reports', () => {
+  it('adds up the reports of other gateways, and drops old reports', () => {
     const peerLoad = new fleet.PeerLoad()
-    peerLoad.apply('g1', [['t', 2, 100, 50]], 0)
+    peerLoad.apply('g1', [['t', 2, 150]], 0)
     peerLoad.apply('g2', [['t', 1, 10]], 500)
     chai.expect(peerLoad.running('t', 600)).to.equal(3)
-    chai.expect([peerLoad.tokensAhead('t', 0, 600), peerLoad.tokensAhead('t', 1, 600)]).to.deep.equal([110, 160])
-    chai.expect(peerLoad.tokensAhead('t', 9, 1_200)).to.equal(10)
+    chai.expect(peerLoad.pendingPrefillTokens('t', 600)).to.equal(160)
+    chai.expect(peerLoad.pendingPrefillTokens('t', 1_200)).to.equal(10)
   })
 })
--- a/test/placement/placers.test.ts
+++ b/test/placement/placers.test.ts
@@ -12,6 +12,11 @@
   return build.aCall({ route: ROUTE, service: ENGINE, priority, prompt: { promptTokens: 10_000 + tokens, outputTokens: 50, segments } })
 }
 
+/** Engines whose links carry the KV cache of this many tokens in a ms. */
+function linkedEngines (tokensPerMs: number) {
+  return build.aService({ engine: { slots: 128, kvCapacityTokens: 1_000_000, kvTokenBytes: 1_000, kvLinkBytesPerMs: tokensPerMs * 1_000 } })
+}
+
 function setUp () {
   const virtual = new time.VirtualTime()
   const records = [
@@ -38,17 +43,59 @@
   it('avoids the target that has a segment cached when its backlog costs more than to prefill the segment again', () => {
     const { placer, state } = setUp()
     state('p1').cache.applyReport('s', 10_000)
-    state('p1').prefillBacklog.add(0, 200_000)
+    state('p1').pendingPrefillTokens += 200_000
     const chosen = placer.place(aModelCall('s', 'own'), new Set())!
     chai.expect((chosen.prefillTarget ?? chosen.target).record.id).not.to.equal('p1')
   })
 
+  it('fetches a shared segment from the engine that has it cached, rather than wait there or prefill it again', () => {
+    const { placer, state } = setUp()
+    state('p1').cache.applyReport('s', 10_000)
+    state('p1').pendingPrefillTokens += 30_000
+    const chosen = placer.place({ ...aModelCall('s', 'own'), service: linkedEngines(1_000) }, new Set())!
+    chai.expect([chosen.prefillTarget?.record.id, chosen.fetchFrom?.record.id, chosen.prefillTokens]).to.deep.equal(['p2', 'p1', 3_000])
+  })
+
+  it('prefills a shared segment again where the links are slower than the engine', () => {
+    const { placer, state } = setUp()
+    state('p1').cache.applyReport('s', 10_000)
+    state('p1').pendingPrefillTokens += 200_000
+    const chosen = placer.place({ ...aModelCall('s', 'own'), service: linkedEngines(5) }, new Set())!
+    chai.expect((chosen.prefillTarget ?? chosen.target).record.id).not.to.equal('p1')
+    chai.expect(chosen.fetchFrom).to.equal(undefined)
+  })
+
+  it('fetches from a leaving engine, which gets no calls itself', () => {
+    const { fleet, placer, state } = setUp()
+    state('p1').cache.applyReport('s', 10_000)
+    fleet.apply(['p1', 'p2', 'e1', 'e2'].map((id) => ({ ...state(id).record, leaving: id === 'p1' })))
+    const chosen = placer.place({ ...aModelCall('s', 'own'), service: linkedEngines(1_000) }, new Set())!
+    chai.expect([chosen.prefillTarget?.record.id, chosen.fetchFrom?.record.id]).to.deep.equal(['p2', 'p1'])
+  })
+
+  it('counts what calls ahead are prefilling as cached for the calls behind them', () => {
+    const { placer, state } = setUp()
+    const first = aModelCall('s', 'own')
+    const chosen = placer.place(first, new Set())!
+    const engine = chosen.prefillTarget ?? chosen.target
+    engine.cache.addPending(first.prompt!)
+    const second = aModelCall('s', 'other')
+    chai.expect(engine.cache.tokensCachedOnArrival(second.prompt!)).to.equal(10_000)
+    engine.cache.removePending(first.prompt!)
+    chai.expect(engine.cache.tokensCachedOnArrival(second.prompt!)).to.equal(0)
+    chai.expect(state('e1').cache.tokensCachedOnArrival(second.prompt!)).to.equal(0)
+  })
+
   it('defers a call that cannot meet its objective, and sends one that can under its own priority', () => {
     const { placer, state } = setUp()
     chai.expect(placer.place(aModelCall('s', 'own'), new Set())!.priority).to.equal(1)
-    for (const id of ['p1', 'p2', 'e1', 'e2']) state(id).prefillBacklog.add(1, 100_000)
+    for (const id of ['p1', 'p2', 'e1', 'e2']) state(id).pendingPrefillTokens += 100_000
     chai.expect(placer.place(aModelCall('s', 'own'), new Set())!.priority).to.equal(6)
-    chai.expect(placer.place(aModelCall('s', 'own', 1_000, 0), new Set())!.priority).to.equal(0)
+    // Engines prefill in order of arrival, so a more urgent call waits as well.
+    chai.expect(placer.place(aModelCall('s', 'own', 1_000, 0), new Set())!.priority).to.equal(5)
+    state('e2').pendingPrefillTokens = 0
+    const chosen = placer.place(aModelCall('s', 'own', 1_000, 0), new Set())!
+    chai.expect([chosen.target.record.id, chosen.prefillTarget, chosen.priority]).to.deep.equal(['e2', undefined, 0])
   })
 
   it('uses no prefill target whose last KV transfer failed just now, and no leaving target', () => {
@@ -67,10 +114,10 @@
     for (const account of ['a', 'b', 'c']) placer.place(callOf(account), new Set())
     chai.expect(placer.place(callOf('large'), new Set())!.priority).to.equal(1)
     await virtual.advance(200)
-    for (const id of ['p1', 'p2']) state(id).prefillBacklog.add(1, 15_000)
-    for (const id of ['e1', 'e2']) state(id).prefillBacklog.add(1, 100_000)
+    for (const id of ['p1', 'p2']) state(id).pendingPrefillTokens += 15_000
+    for (const id of ['e1', 'e2']) state(id).pendingPrefillTokens += 100_000
     for (const id of ['p1', 'p2']) state(id).cache.applyReport('s', 10_000)
-    state('e1').prefillBacklog.add(1, -95_000)
+    state('e1').pendingPrefillTokens -= 99_000
     const priorities = [callOf('large'), callOf('a')].map((call) => placer.place(call, new Set())!.priority)
     chai.expect(priorities).to.deep.equal([6, 1])
   })
@@ -78,7 +125,7 @@
   it('finds the only idle engine of a large fleet, whatever the affinity target, before it defers a call', () => {
     const virtual = new time.VirtualTime()
     const fleet = build.aFleet(virtual, Array.from({ length: 60 }, (_, index) => build.aTarget(`e${index}`, { stage: 'decode' })))
-    for (const state of fleet.ofService('s')) if (state.record.id !== 'e30') state.prefillBacklog.add(0, 100_000)
+    for (const state of fleet.ofService('s')) if (state.record.id !== 'e30') state.pendingPrefillTokens += 100_000
     const placer = new placement.EnginePlacer(fleet, virtual.env(1), 'd1', () => 4)
     for (let segment = 0; segment < 20; segment++) {
       const chosen = placer.place(aModelCall(`s${segment}`, 'own', 100), new Set())!
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -78,11 +78,13 @@
 describe('configuration', () => {
   it('decodes to idempotency, idle timeouts of callers, and prices', () => {
     const route = { name: 'r', host: 'H', pathPrefix: '/p/', kind: 'streaming', timeoutMs: 5_000, sloMs: 400, priority: 2, service: 's', maxAttempts: 2, public: false, sticky: true, resumable: true, gapTargetMs: 400 }
-    const service = { name: 's', healthPath: '/h', maxConns: 5, protocol: 'h1', tls: false, engine: { slots: 4, kvCapacity: 100 }, autoscale: { min: 1, max: 4, bootS: 4, spotPrice: 0.2, zonePrices: { z: 1 } } }
+    const service = { name: 's', healthPath: '/h', maxConns: 5, protocol: 'h1', tls: false, engine: { slots: 4, kvCapacity: 100, kvTokenBytes: 8, linkMbps: 16 }, autoscale: { min: 1, max: 4, bootS: 4, spotPrice: 0.2, zonePrices: { z: 1 } } }
     const text = JSON.stringify({ version: '7', routes: [route, { ...route, name: 'q', kind: 'unsafe' }], services: [service], limits: { maxHeaderBytes: 1, maxBodyBytes: 2, headerTimeoutMs: 3, idleTimeoutMs: 4 }, tenants: [{ name: 't', apiKeys: ['k'] }] })
     const config = servingConfig.decodeConfig(text)
     chai.expect(config.version).to.equal(7)
     chai.expect(config.routes.map((decoded) => [decoded.idempotency, decoded.streaming, decoded.callerIdleTimeoutMs, decoded.host])).to.deep.equal([['resumable', true, 3_200, 'h'], ['non_idempotent', false, 5_000, 'h']])
+    chai.expect(config.routes[0]!.gapSloMs).to.equal(400)
+    chai.expect(config.services.get('s')?.engine).to.deep.equal({ slots: 4, kvCapacityTokens: 100, kvTokenBytes: 8, kvLinkBytesPerMs: 2_000 })
     chai.expect(config.services.get('s')?.orders).to.deep.include({ max: 4, deliveryMs: 4_000, preemptiblePrice: 0.2 })
   })
 })
--- a/test/support/gateway-builders.ts
+++ b/test/support/gateway-builders.ts
@@ -15,6 +15,7 @@
     streaming: false,
     timeoutMs: 5_000,
     sloMs: 200,
+    gapSloMs: Infinity,
     callerIdleTimeoutMs: 5_000,
     priority: 2,
     shares: [{ service: 's', weight: 1 }],
