Spread calls of several gateways over mixed engines, and count slots

Engines near the end of their slots now cost more, a full one delays by the calls ahead, and a random cost spreads equal choices.

Also: standard targets are released once preemptible ones provide half more than the size without any one domain, and are ordered again when they no longer provide the size.

--- a/src/duties/order-plan.ts
+++ b/src/duties/order-plan.ts
@@ -1,8 +1,7 @@
 /**
- * Plans how many targets of each price class a service has in each failure domain. Standard targets that the service was
- * sized for stay: replacing them costs seconds of capacity and loses their KV caches. Preemptible targets come on top, the
- * same number in each failure domain, since a reclaim takes all of one domain. Standard targets are ordered only while the
- * size is not met.
+ * Plans how many targets of each price class a service has in each failure domain. A reclaim takes all preemptible
+ * targets of one domain, so what the service needs must be there without those of any one domain. Standard targets make up
+ * for what the preemptible ones do not guarantee; beyond that they are released, as they cost several times as much.
  */
 import type * as serving from '../serving/index.js'
 import type * as types from './types.js'
@@ -10,8 +9,11 @@
 /** Highest price of a preemptible target, as a share of the standard price, at which preemptible targets are ordered. */
 const MAX_PREEMPTIBLE_PRICE_SHARE = 0.6
 
-/** Preemptible targets in each failure domain beyond those that the size requires. */
-const SPARE_TARGETS_PER_DOMAIN = 1
+/**
+ * Capacity that preemptible targets are ordered for, and above which standard targets are released, as a multiple of the
+ * size. Swings of the mix need more than the mean load does.
+ */
+const CAPACITY_MARGIN = 1.5
 
 /** Number of targets of a service in a failure domain that accept work. */
 export interface DomainTargets {
@@ -24,42 +26,66 @@
 export interface OrderPlanInput {
   readonly service: string
   readonly limits: serving.OrderLimits
-  /** Number of targets that the service was sized for. */
+  /** Number of targets that the service needs. */
   readonly size: number
   readonly domains: readonly DomainTargets[]
 }
 
 /** Returns the desired number of targets of each kind in each failure domain; empty when preemptible targets do not pay. */
 export function planOrders (input: OrderPlanInput): types.DesiredTargets[] {
-  const { limits, domains, size, service } = input
+  const { limits, domains, service } = input
   if (limits.preemptiblePrice === undefined || limits.preemptiblePrice > MAX_PREEMPTIBLE_PRICE_SHARE) return []
-  const perDomain = Math.ceil(size / Math.max(1, domains.length))
-  const standard = domains.map((counts) => Math.min(counts.standard, perDomain))
-  addMissingStandard(standard, size - domains.reduce((sum, counts) => sum + counts.preemptible, 0), input)
-  const preemptible = preemptiblePerDomain(size, domains.length)
-  return domains.flatMap(({ domain }, index) => [
-    { service, domain, count: standard[index]!, preemptible: false },
-    { service, domain, count: Math.min(preemptible, limits.max - standard[index]!), preemptible: true }
+  const standard = planStandard(input)
+  // With one domain lost, the others still provide the capacity.
+  const preemptible = Math.ceil(input.size * CAPACITY_MARGIN / Math.max(1, domains.length - 1))
+  return domains.flatMap((present, index) => [
+    { service, domain: present.domain, count: standard[index]!, preemptible: false },
+    // A standard target to be released counts towards the limit until it has left.
+    { service, domain: present.domain, count: Math.max(0, Math.min(preemptible, limits.max - Math.max(standard[index]!, present.standard))), preemptible: true }
   ])
 }
 
-// With one domain lost, the others still provide the size; the spare in each absorbs swings of the prompt-to-output mix.
-function preemptiblePerDomain (size: number, domainCount: number): number {
-  return Math.ceil(size / Math.max(1, domainCount - 1)) + SPARE_TARGETS_PER_DOMAIN
+function planStandard (input: OrderPlanInput): number[] {
+  const { size, domains } = input
+  const preemptible = domains.map((counts) => counts.preemptible)
+  const guaranteed = sum(preemptible) - Math.max(0, ...preemptible)
+  const standard = domains.map((counts) => counts.standard)
+  addMissing(standard, size - guaranteed, input)
+  removeSurplus(standard, Math.max(0, Math.ceil(size * CAPACITY_MARGIN) - guaranteed), input)
+  return standard
 }
 
-// Standard targets make up the part of the size that preemptible ones do not cover, in the cheapest domains first.
-function addMissingStandard (standard: number[], needed: number, input: OrderPlanInput): void {
+// The cheapest domains first, one in each at a time.
+function addMissing (standard: number[], needed: number, input: OrderPlanInput): void {
   const { domains, limits } = input
-  const price = (index: number): number => limits.domainPrices.get(domains[index]!.domain) ?? 1
-  const indexesByPrice = domains.map((_, index) => index).sort((a, b) => price(a) - price(b))
+  const indexesByPrice = domains.map((_, index) => index).sort((a, b) => priceOf(input, a) - priceOf(input, b))
   const room = (index: number): number => limits.max - domains[index]!.preemptible - standard[index]!
-  let remaining = needed - standard.reduce((sum, count) => sum + count, 0)
-  while (remaining > 0 && indexesByPrice.some((index) => room(index) > 0)) {
+  let missing = needed - sum(standard)
+  while (missing > 0 && indexesByPrice.some((index) => room(index) > 0)) {
     for (const index of indexesByPrice) {
-      if (remaining <= 0 || room(index) <= 0) continue
+      if (missing <= 0 || room(index) <= 0) continue
       standard[index]!++
-      remaining--
+      missing--
     }
   }
 }
+
+// From the domain that has most targets, of several the most expensive one; each domain keeps its minimum.
+function removeSurplus (standard: number[], needed: number, input: OrderPlanInput): void {
+  const { domains, limits } = input
+  const total = (index: number): number => standard[index]! + domains[index]!.preemptible
+  for (let surplus = sum(standard) - needed; surplus > 0; surplus--) {
+    const removable = domains.map((_, index) => index).filter((index) => standard[index]! > 0 && total(index) > limits.min)
+    const largest = removable.sort((a, b) => total(b) - total(a) || priceOf(input, b) - priceOf(input, a))[0]
+    if (largest === undefined) return
+    standard[largest]!--
+  }
+}
+
+function priceOf ({ domains, limits }: OrderPlanInput, index: number): number {
+  return limits.domainPrices.get(domains[index]!.domain) ?? 1
+}
+
+function sum (values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0)
+}
--- a/src/duties/target-orders.ts
+++ b/src/duties/target-orders.ts
@@ -25,7 +25,7 @@
 const FAILED_RETRY_MS = 2_000
 
 /** Time for which there must be more targets than desired before an order releases the surplus, in ms. */
-const RELEASE_DELAY_MS = 3_000
+const RELEASE_DELAY_MS = 1_500
 
 const Sizes = z.record(z.string(), z.int())
 type Sizes = z.infer<typeof Sizes>
--- a/src/placement/engine-placer.ts
+++ b/src/placement/engine-placer.ts
@@ -32,6 +32,21 @@
 /** Weight of prefill time in the cost: to prefill what another target has cached costs more than the time it takes. */
 const PREFILL_COST_WEIGHT = 1.5
 
+/**
+ * Cost of a call at an engine whose slots are all in use, in ms; with the square of their share otherwise. Engines beyond
+ * their slots queue calls, and the load that other gateways add in the meantime is not known yet.
+ */
+const FULL_SLOTS_COST_MS = 60
+
+/** Time that a call waits for a slot for each complete set of slots ahead of it, in ms. */
+const SLOT_WAIT_MS = 250
+
+/**
+ * Largest random cost of a mixed engine, in ms. Gateways decide on loads that are some 100 ms old, and would all choose
+ * the engine that was least loaded then.
+ */
+const RANDOM_COST_MS = 12
+
 /** Cost of a second send, to a prefill-only engine before the one that generates, in ms. */
 const SECOND_SEND_COST_MS = 8
 
@@ -93,7 +108,7 @@
   readonly state: fleet.TargetState
   /** Expected delay by its load, in ms. */
   readonly delayMs: number
-  /** Delay with penalties and a random part of up to 1 ms, which breaks ties. */
+  /** Delay with penalties and a random part. */
   readonly cost: number
 }
 
@@ -160,9 +175,9 @@
     const handover = prefillOnly ? this.cheapestHandover(state, context) : undefined
     if (prefillOnly && handover === undefined) return undefined
     const target = handover?.mixed.state ?? state
-    const laterMs = handover === undefined ? state.load(now) * DELAY_PER_CALL_MS : handover.transferMs + handover.mixed.delayMs
-    const domainCostMs = state.record.domain === this.ownDomain ? 0 : OTHER_DOMAIN_COST_MS
-    const failureCostMs = FAILURE_COST_MS * Math.max(state.failures.failureRate(now), target.failures.failureRate(now))
+    const laterMs = handover === undefined ? slotDelayMs(state, now) : handover.transferMs + handover.mixed.delayMs
+    const laterCost = handover === undefined ? this.mixedCost(state, now) : handover.transferMs + handover.mixed.cost
+    const sourceCost = handover === undefined ? 0 : SECOND_SEND_COST_MS + this.placeCost(state, now)
     return {
       target,
       prefillTarget: prefillOnly ? state : undefined,
@@ -170,7 +185,7 @@
       priority: call.priority,
       prefillTokens: work.prefillTokens,
       expectedMs: backlogMs + work.fetchMs + prefillMs + laterMs + FIRST_EVENT_OVERHEAD_MS,
-      cost: backlogMs + work.fetchMs + prefillMs * PREFILL_COST_WEIGHT + laterMs + (prefillOnly ? SECOND_SEND_COST_MS : lateStreamCostMs(state.load(now), backlogMs + prefillMs, call.route.gapSloMs)) + domainCostMs + failureCostMs
+      cost: backlogMs + work.fetchMs + prefillMs * PREFILL_COST_WEIGHT + laterCost + sourceCost + (prefillOnly ? 0 : lateStreamCostMs(state.load(now), backlogMs + prefillMs, call.route.gapSloMs))
     }
   }
 
@@ -205,12 +220,22 @@
       const { stage, domain } = state.record
       if (stage === 'prefill') continue
       const backlogMs = state.prefillTokensAhead(now) / state.prefillTokensPerMs(now)
-      const delayMs = state.load(now) * DELAY_PER_CALL_MS + backlogMs
-      const cost = delayMs + lateStreamCostMs(1, backlogMs, gapSloMs) + FAILURE_COST_MS * state.failures.failureRate(now) + (domain === this.ownDomain ? 0 : OTHER_DOMAIN_COST_MS) + this.env.random.next()
-      if (cost < (byDomain.get(domain)?.cost ?? Infinity)) byDomain.set(domain, { state, delayMs, cost })
+      const cost = this.mixedCost(state, now) + backlogMs + lateStreamCostMs(1, backlogMs, gapSloMs)
+      if (cost < (byDomain.get(domain)?.cost ?? Infinity)) byDomain.set(domain, { state, delayMs: slotDelayMs(state, now) + backlogMs, cost })
     }
     return [...byDomain.values()]
   }
+
+  // Cost of generating at a mixed engine, without prefill.
+  private mixedCost (state: fleet.TargetState, now: number): number {
+    const slotShare = Math.min(1, state.load(now) / state.record.slots)
+    return slotDelayMs(state, now) + FULL_SLOTS_COST_MS * slotShare ** 2 + this.placeCost(state, now) + RANDOM_COST_MS * this.env.random.next()
+  }
+
+  // Cost of failures and of the failure domain.
+  private placeCost (state: fleet.TargetState, now: number): number {
+    return FAILURE_COST_MS * state.failures.failureRate(now) + (state.record.domain === this.ownDomain ? 0 : OTHER_DOMAIN_COST_MS)
+  }
 }
 
 /** A mixed engine that generates after a KV transfer, and the time of the transfer in ms. */
@@ -229,6 +254,13 @@
   return streams * LATE_STREAM_COST_MS * Math.min(1, (prefillMs - toleratedMs) / toleratedMs)
 }
 
+/** Expected delay of a call by the calls that an engine executes and queues, in ms. */
+function slotDelayMs (state: fleet.TargetState, now: number): number {
+  const load = state.load(now)
+  const { slots } = state.record
+  return load * DELAY_PER_CALL_MS + (load < slots ? 0 : SLOT_WAIT_MS * (load - slots + 1) / slots)
+}
+
 /** Tokens of all segments except the last, which is the request's own. */
 function sharedTokens (prompt: calls.Prompt): number {
   let tokens = 0
