Exchange between gateways over relays; few of them read the store

Change: a few gateways a failure domain are relays, chosen alike by rendezvous hashing. A member calls one relay every 100 ms, relays call each other; up to eight gateways all are relays. The calls carry sums of load, changes of caches, of the targets and of the gateways, the configuration with its age, and counts of usage. A member reads the store itself when what its relay confirms gets too old, and stores its usage itself while no relay confirms it. Only relays contend for the lease.

Ways weighed: one-way datagrams to all (as many wake-ups), subsets of engines by group of gateways (each group would need its own copies of shared segments), rows of all gateways instead of sums (150 KB/s a member at 78).

--- a/src/directory/index.ts
+++ b/src/directory/index.ts
@@ -1,2 +1,2 @@
 /** Directory of the gateways. */
-export { Directory, GATEWAYS_PREFIX, type DirectoryDeps, type GatewayRecord } from './directory.js'
+export { Directory, GATEWAYS_PREFIX, type DirectoryDeps } from './directory.js'
--- a/src/duties/index.ts
+++ b/src/duties/index.ts
@@ -5,4 +5,5 @@
 export { decodeFinalCounts, UsageCloser, FINAL_COUNTS_KEY, type UsageCloserDeps, type FinalCounts } from './usage-closer.js'
 export { planOrders, type DomainTargets, type OrderPlanInput } from './order-plan.js'
 export { TargetOrders, SIZES_KEY, type TargetOrdersDeps } from './target-orders.js'
-export { UsageCollector, type ProcessCounts, type UsageCollectorDeps } from './usage-collector.js'
+export { UsageCollector, type UsageCollectorDeps } from './usage-collector.js'
+export type { ProcessCounts, WindowCounts } from './usage-counts.js'
--- a/src/duties/lease.ts
+++ b/src/duties/lease.ts
@@ -45,6 +45,8 @@
   readonly incarnation: string
   /** Time that a new holder waits after a release so that two holders do not alternate within it, in ms. */
   readonly takeoverDelayMs: number
+  /** Whether this gateway takes over a lease that nobody holds; a few gateways are enough. */
+  readonly contends: () => boolean
   readonly log: log.Logger
 }
 
@@ -96,7 +98,7 @@
 
   private async renewOrCheck (): Promise<void> {
     if (this.heldLease !== undefined) await this.renew(this.heldLease)
-    else await this.check('stale_ok')
+    else if (this.deps.contends()) await this.check('stale_ok')
   }
 
   private async renew (lease: HeldLease): Promise<void> {
--- a/src/duties/usage-closer.ts
+++ b/src/duties/usage-closer.ts
@@ -6,6 +6,7 @@
 import type * as lease from './lease.js'
 import type * as types from './types.js'
 import type * as usageCollector from './usage-collector.js'
+import * as usageCounts from './usage-counts.js'
 import * as usageLedger from './usage-ledger.js'
 
 /** Key of the final counts. */
@@ -26,7 +27,6 @@
 const Counts = z.record(z.string(), z.int())
 const FinalCounts = z.record(z.string(), z.object({ counts: Counts, reported: z.boolean() }))
 export type FinalCounts = z.infer<typeof FinalCounts>
-const Windows = z.record(z.string(), Counts)
 
 /** Dependencies of the usage closer. */
 export interface UsageCloserDeps {
@@ -90,10 +90,10 @@
   private async closeWindows (lastDue: number): Promise<void> {
     const list = await this.deps.store.list(usageLedger.COUNTS_PREFIX)
     if (list.err || this.stored === undefined) return
-    const countsByProcess = new Map<string, usageLedger.WindowCounts>()
-    for (const object of list.val) this.addProcessCounts(object, lastDue, countsByProcess)
-    for (const { name, windows } of await this.deps.collector.collect()) mergeCounts(countsByProcess, name, windows)
-    const totals = sumByWindow(countsByProcess.values())
+    const merged: usageCounts.ProcessCounts = {}
+    for (const object of list.val) this.addStoredCounts(object, lastDue, merged)
+    for (const counts of await this.deps.collector.collect()) mergeCounts(merged, counts)
+    const totals = sumByWindow(Object.values(merged))
     const finalCounts: FinalCounts = {}
     for (const [window, final] of Object.entries(this.stored.finalCounts)) {
       if (Number(window) > lastDue - ABANDON_AFTER_WINDOWS) finalCounts[window] = final
@@ -104,12 +104,15 @@
     if (await this.writeFinalCounts(finalCounts)) this.lastClosed = lastDue
   }
 
-  private addProcessCounts (object: external.StoredObject, lastDue: number, countsByProcess: Map<string, usageLedger.WindowCounts>): void {
-    const parsed = Windows.safeParse(JSON.parse(object.value))
-    if (!parsed.success) return
-    mergeCounts(countsByProcess, object.key.slice(usageLedger.COUNTS_PREFIX.length), parsed.data)
-    const newestWindow = Math.max(...Object.keys(parsed.data).map(Number))
-    if (newestWindow < lastDue - DELETE_AFTER_WINDOWS) this.deleteCounts(object)
+  private addStoredCounts (object: external.StoredObject, lastDue: number, merged: usageCounts.ProcessCounts): void {
+    const counts = decodeCounts(object)
+    if (counts === undefined) {
+      this.deps.log.warn({ key: object.key }, 'usage_counts_malformed')
+      return
+    }
+    mergeCounts(merged, counts)
+    const windows = Object.values(counts).flatMap((processWindows) => Object.keys(processWindows).map(Number))
+    if (windows.length > 0 && Math.max(...windows) < lastDue - DELETE_AFTER_WINDOWS) this.deleteCounts(object)
   }
 
   private deleteCounts (object: external.StoredObject): void {
@@ -145,17 +148,28 @@
   }
 }
 
-// Counts of a process only grow, so the higher of two counts is the later one.
-function mergeCounts (countsByProcess: Map<string, usageLedger.WindowCounts>, name: string, windows: usageLedger.WindowCounts): void {
-  const mergedWindows = countsByProcess.get(name) ?? {}
-  countsByProcess.set(name, mergedWindows)
-  for (const [window, counts] of Object.entries(windows)) {
-    const mergedCounts = mergedWindows[window] = { ...mergedWindows[window] }
-    for (const [account, count] of Object.entries(counts)) mergedCounts[account] = Math.max(mergedCounts[account] ?? 0, count)
+/** Counts by process; those that were stored before a process stored others' too are of the process that the key names. */
+function decodeCounts (object: external.StoredObject): usageCounts.ProcessCounts | undefined {
+  const value = parseJson(object.value)
+  const processes = usageCounts.ProcessCounts.safeParse(value)
+  if (processes.success) return processes.data
+  const windows = usageCounts.WindowCounts.safeParse(value)
+  return windows.success ? { [object.key.slice(usageLedger.COUNTS_PREFIX.length)]: windows.data } : undefined
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
   }
 }
 
-function sumByWindow (processes: Iterable<usageLedger.WindowCounts>): Map<number, Record<string, number>> {
+function mergeCounts (into: usageCounts.ProcessCounts, counts: usageCounts.ProcessCounts): void {
+  for (const [process, windows] of Object.entries(counts)) usageCounts.mergeWindows(into[process] ??= {}, windows)
+}
+
+function sumByWindow (processes: Iterable<usageCounts.WindowCounts>): Map<number, Record<string, number>> {
   const totals = new Map<number, Record<string, number>>()
   for (const windows of processes) {
     for (const [window, counts] of Object.entries(windows)) {
--- a/src/duties/usage-ledger.ts
+++ b/src/duties/usage-ledger.ts
@@ -1,17 +1,19 @@
-/** Counts the requests that began to execute, by window and account, and stores the counts. */
+/**
+ * Counts the requests that began to execute, and makes the counts durable: a member tells them to its relay, and a relay
+ * stores its own and those of its members. A member stores its counts itself while no relay confirms them.
+ */
+import type * as exchange from '../exchange/index.js'
 import type * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import type * as time from '../time/index.js'
+import * as usageCounts from './usage-counts.js'
 
-/** Key prefix of the objects that hold the counts of each process. */
+/** Key prefix of the objects that hold the counts. */
 export const COUNTS_PREFIX = 'godwitpoint-usage/'
 
-/** Time between two writes, in ms: the counts of at most this time are lost with a process. */
+/** Time between two writes, in ms: counts that no other gateway knows are lost with a process for at most this time. */
 const WRITE_INTERVAL_MS = 1_250
 
-/** Number of past windows whose counts are retained; older ones have been reported. */
-const RETAINED_WINDOWS = 6
-
 /** Dependencies of the usage ledger. */
 export interface UsageLedgerDeps {
   readonly env: time.Env
@@ -19,45 +21,51 @@
   /** Node and incarnation; the object's key ends with it. */
   readonly name: string
   readonly windowMs: number
+  /** Whether this gateway is a relay. */
+  readonly isRelay: () => boolean
   readonly log: log.Logger
 }
 
-/** Counts of one process by window number and account. */
-export type WindowCounts = Record<string, Record<string, number>>
-
-/** Counts of this process and their copy in the store. */
-export class UsageLedger implements AsyncDisposable {
-  private readonly windows: WindowCounts = {}
-  private dirty = false
+/** Counts of this process and its members, and their copy in the store; a topic of the exchange. */
+export class UsageLedger implements AsyncDisposable, exchange.Topic {
+  /** Name of the topic. */
+  readonly name = 'usage'
+  private readonly held = new usageCounts.UsageCounts()
+  private writtenPosition = 0
   private writing = false
   private version: external.ExpectedVersion = 'absent'
   private timer: Disposable | undefined
+  /** Position that the relay has confirmed, and the position at the last check of the writes. */
+  private confirmedPosition = 0
+  private checkedPosition = 0
 
   constructor (private readonly deps: UsageLedgerDeps) {}
 
   /** Starts the periodic writes. */
   start (): void {
     this.timer = this.deps.env.timers.every(WRITE_INTERVAL_MS, () => {
-      this.write().catch((err: unknown) => this.deps.log.error({ err }, 'usage_write_failed'))
+      this.writeIfNeeded().catch((err: unknown) => this.deps.log.error({ err }, 'usage_write_failed'))
     })
   }
 
   /** Counts a request that has begun to execute. */
   countRequest (account: string): void {
-    const window = String(this.currentWindow())
-    const counts = this.windows[window] ??= {}
-    counts[account] = (counts[account] ?? 0) + 1
-    this.dirty = true
+    this.held.count(this.deps.name, this.currentWindow(), account)
   }
 
   /** Name under which this process stores its counts. */
-  get name (): string {
+  get processName (): string {
     return this.deps.name
   }
 
-  /** All retained counts. */
-  get counts (): WindowCounts {
-    return this.windows
+  /** Counts of this process. */
+  get ownCounts (): usageCounts.WindowCounts {
+    return this.held.of(this.deps.name)
+  }
+
+  /** Counts of this process and of its members. */
+  get allCounts (): usageCounts.ProcessCounts {
+    return this.held.since(0)
   }
 
   /** Number of the current window. */
@@ -65,39 +73,62 @@
     return Math.floor(this.deps.env.clock.wallTimeMs() / this.deps.windowMs)
   }
 
+  changesSince (link: exchange.Link, position: number | undefined): exchange.Changes | undefined {
+    if (link.kind !== 'relay') return undefined
+    this.confirmedPosition = position ?? 0
+    if (this.held.position === this.confirmedPosition) return undefined
+    return { next: this.held.position, payload: this.held.since(this.confirmedPosition) }
+  }
+
+  apply (link: exchange.Link, payload: unknown): boolean {
+    if (link.kind !== 'member') return true
+    for (const [process, windows] of Object.entries(usageCounts.ProcessCounts.parse(payload))) {
+      if (process !== this.deps.name) this.held.merge(process, windows)
+    }
+    return true
+  }
+
+  linkEnded (link: exchange.Link): void {
+    if (link.kind === 'relay') this.confirmedPosition = 0
+  }
+
   /** Stops the periodic writes and writes the remaining counts. */
   async [Symbol.asyncDispose] (): Promise<void> {
     this.timer?.[Symbol.dispose]()
     await this.write()
   }
 
+  // A member leaves to its relay what the relay has confirmed within one interval.
+  private async writeIfNeeded (): Promise<void> {
+    const confirmedInTime = this.confirmedPosition >= this.checkedPosition
+    this.checkedPosition = this.held.position
+    if (this.deps.isRelay() || !confirmedInTime) await this.write()
+  }
+
   private async write (): Promise<void> {
-    if (!this.dirty || this.writing) return
+    const { position } = this.held
+    if (position === this.writtenPosition || this.writing) return
     this.writing = true
-    this.dirty = false
-    this.deleteOldWindows()
+    this.held.dropOld(this.currentWindow())
     try {
       const key = COUNTS_PREFIX + this.deps.name
-      const put = await this.deps.store.put(key, JSON.stringify(this.windows), this.version)
-      if (put.ok) this.version = put.val.version
+      const put = await this.deps.store.put(key, JSON.stringify(this.allCounts), this.version)
+      if (put.ok) this.noteWritten(put.val, position)
       else await this.recover(key, put.val)
     } finally {
       this.writing = false
     }
   }
 
+  private noteWritten (object: external.StoredObject, position: number): void {
+    this.version = object.version
+    this.writtenPosition = position
+  }
+
   // Only this process writes the object, so a conflict means that an earlier write took effect.
   private async recover (key: string, err: external.StoreError): Promise<void> {
-    this.dirty = true
     if (err.kind === 'unavailable') return
     const stored = await this.deps.store.get(key)
     if (stored.ok) this.version = stored.val?.version ?? 'absent'
   }
-
-  private deleteOldWindows (): void {
-    const oldest = this.currentWindow() - RETAINED_WINDOWS
-    for (const window of Object.keys(this.windows)) {
-      if (Number(window) < oldest) delete this.windows[window]
-    }
-  }
 }
--- a/src/fleet/cache-estimate.ts
+++ b/src/fleet/cache-estimate.ts
@@ -24,6 +24,11 @@
     else this.set(id, tokens)
   }
 
+  /** Tokens of a segment that are estimated to be cached. */
+  tokensOf (id: string): number {
+    return this.segments.get(id) ?? 0
+  }
+
   /** Notes that the target has begun to prefill a prompt. */
   addPending (prompt: calls.Prompt): void {
     for (const { id } of prompt.segments) this.pending.set(id, (this.pending.get(id) ?? 0) + 1)
--- a/src/fleet/cache-feed.ts
+++ b/src/fleet/cache-feed.ts
@@ -29,8 +29,14 @@
 /** Time between two checks for engines that this gateway has to follow and does not follow yet, in ms. */
 const FOLLOW_INTERVAL_MS = 500
 
-/** Gateways that poll an engine: engines reject more than a few such polls. The first relays to the other gateways. */
-const FOLLOWERS_PER_ENGINE = 4
+/**
+ * Number of gateways up to which each polls every engine; engines reject more than a few such polls. Of more gateways one
+ * polls an engine, and tells the others.
+ */
+const ALL_FOLLOW_LIMIT = 4
+
+/** Smallest segment that other gateways are told of, in tokens: smaller ones are prefilled faster than they are fetched. */
+const MIN_TOLD_TOKENS = 256
 
 /** Largest response, in bytes. */
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024
@@ -49,8 +55,8 @@
 }
 
 /**
- * Follows engines: polls each for changes of its cache, one poll at a time. Rendezvous hashing assigns a few gateways
- * to each engine.
+ * Follows engines: polls each for changes of its cache, one poll at a time. Rendezvous hashing assigns gateways to each
+ * engine.
  */
 export class CacheFeed implements Disposable {
   private timer: Disposable | undefined
@@ -109,7 +115,8 @@
   }
 
   private followersOf (state: targetState.TargetState): string[] {
-    return hash.rendezvous(state.record.id, this.deps.gateways(), FOLLOWERS_PER_ENGINE)
+    const gateways = this.deps.gateways()
+    return gateways.length <= ALL_FOLLOW_LIMIT ? [...gateways] : hash.rendezvous(state.record.id, gateways, 1)
   }
 
   // A new epoch means that the engine restarted with an empty cache. After a gap in the changes, the estimate stands
@@ -117,20 +124,16 @@
   private apply (state: targetState.TargetState, batch: calls.CacheChanges, position: Position): Position {
     const restarted = position.epoch !== undefined && batch.epoch !== position.epoch
     if (restarted) state.cache.clear()
+    const told = batch.changes.filter((change) => Math.max(change.tokens, state.cache.tokensOf(change.id)) >= MIN_TOLD_TOKENS)
     for (const change of batch.changes) state.cache.applyReport(change.id, change.tokens)
-    // The response to the first poll is not relayed: what the engine has recorded so far is not new to other gateways.
-    if (position.epoch !== undefined && this.relaysUpdates(state)) {
+    // The response to the first poll is not told to others: what the engine has recorded so far is not new to other gateways.
+    if (position.epoch !== undefined && this.deps.gateways().length > ALL_FOLLOW_LIMIT) {
       if (restarted) this.deps.fleet.cacheUpdates.addRestart(state.record.id)
-      this.deps.fleet.cacheUpdates.add(state.record.id, batch.changes)
+      this.deps.fleet.cacheUpdates.add(state.record.id, told)
     }
     return { epoch: batch.epoch, since: batch.next }
   }
 
-  // A few gateways all follow every engine, so that there is nothing to relay.
-  private relaysUpdates (state: targetState.TargetState): boolean {
-    return this.deps.gateways().length > FOLLOWERS_PER_ENGINE && this.followersOf(state)[0] === this.deps.selfName
-  }
-
   /** The body of a complete response with status 200; undefined for any other outcome. */
   private async fetchBody (address: string, req: calls.CacheQuery, timeoutMs: number): Promise<Uint8Array | undefined> {
     return await new Promise((resolve) => {
--- a/src/fleet/fleet-feed.ts
+++ b/src/fleet/fleet-feed.ts
@@ -1,9 +1,15 @@
-/** Polls the list of targets in the store. */
+/**
+ * Keeps the list of targets up to date. Relays poll the store; members get the list and its age from their relay, and read
+ * the store themselves when that is too old.
+ */
+import * as z from 'zod'
+import type * as exchange from '../exchange/index.js'
 import type * as external from '../external/index.js'
 import type * as log from '../log/index.js'
-import type * as serving from '../serving/index.js'
+import * as serving from '../serving/index.js'
 import * as time from '../time/index.js'
 import type * as fleet from './fleet.js'
+import * as targetList from './target-list.js'
 
 /** Interval between two reads, as a share of `leavePropagationMs`: one read within that bound may fail. */
 const READ_INTERVAL_SHARE = 0.4
@@ -11,14 +17,26 @@
 /** Time to the next read after a failed one, in ms. */
 const RETRY_INTERVAL_MS = 250
 
+/** Age beyond the read interval up to which a member waits for its relay, in ms: several exchanges and one that is late. */
+const RELAY_SLACK_MS = 350
+
+/** Time after which a list is applied again although it has not changed, in ms: targets may be kept for a while. */
+const REAPPLY_INTERVAL_MS = 1_000
+
+/** Changes of the list, and its age when this was sent; `complete`: other targets are not in the list. */
+const ListChanges = z.object({ ageMs: z.number(), complete: z.boolean(), records: z.array(targetList.TargetRecord), removed: z.array(z.string()) })
+
 /** Dependencies of a {@link FleetFeed}. */
 export interface FleetFeedDeps {
   readonly env: time.Env
+  readonly elapsed: serving.ElapsedClock
   readonly store: external.ObjectStore
   /** Prefix of the keys of target records. */
   readonly prefix: string
   /** Propagation bound, in ms: from this time after its acknowledgement on, a leaving target must get no new work. */
   readonly leavePropagationMs: number
+  /** Whether this gateway reads for itself; a member of a relay does not. */
+  readonly isReader: () => boolean
   /** Decodes a stored object; undefined when it describes no target. */
   readonly decode: (object: external.StoredObject) => serving.TargetRecord | undefined
   readonly fleet: fleet.Fleet
@@ -26,17 +44,24 @@
 }
 
 /** Keeps a {@link fleet.Fleet} up to date. */
-export class FleetFeed implements Disposable {
+export class FleetFeed implements Disposable, exchange.Topic {
+  readonly name = 'targets'
   private readonly poller: time.Poller
+  private readonly freshness: serving.Freshness
+  private readonly list = new targetList.TargetList()
   private failing = false
   private readsStarted = 0
   private lastAppliedRead = 0
   private loaded = false
+  private appliedAt = -Infinity
 
   constructor (private readonly deps: FleetFeedDeps) {
+    this.freshness = new serving.Freshness(deps.elapsed)
+    const intervalMs = READ_INTERVAL_SHARE * deps.leavePropagationMs
     this.poller = new time.Poller({
       timers: deps.env.timers,
-      intervalMs: READ_INTERVAL_SHARE * deps.leavePropagationMs,
+      intervalMs,
+      mayWaitMs: () => deps.isReader() ? 0 : intervalMs + RELAY_SLACK_MS - this.freshness.ageMs,
       retryMs: RETRY_INTERVAL_MS,
       read: async () => await this.read(),
       onError: (err) => deps.log.error({ err }, 'target_list_failed')
@@ -53,6 +78,27 @@
     return this.loaded
   }
 
+  changesSince (link: exchange.Link, position: number | undefined): exchange.Changes | undefined {
+    if (link.kind !== 'member' || !this.loaded) return undefined
+    const complete = position === undefined || !this.list.knowsChangesSince(position)
+    return { next: this.list.position, payload: { ageMs: Math.ceil(this.freshness.ageMs), complete, ...this.list.changesSince(complete ? 0 : position) } }
+  }
+
+  // A complete list that is older than the one in use is not applied; the relay sends it again.
+  apply (link: exchange.Link, payload: unknown, sentAt: number | undefined): boolean {
+    if (link.kind !== 'relay' || sentAt === undefined) return true
+    const { ageMs, complete, records, removed } = ListChanges.parse(payload)
+    const confirmedAt = sentAt - ageMs
+    if (complete && confirmedAt < this.freshness.confirmedAt) return false
+    if (complete) this.list.replace(records)
+    else this.list.update(records, removed)
+    this.freshness.confirm(confirmedAt)
+    if (!this.loaded || complete || records.length + removed.length > 0 || this.deps.env.clock.now() - this.appliedAt >= REAPPLY_INTERVAL_MS) this.applyToFleet()
+    return true
+  }
+
+  linkEnded (): void {}
+
   [Symbol.dispose] (): void {
     this.poller[Symbol.dispose]()
   }
@@ -60,22 +106,25 @@
   // Reads may overlap: a list is dropped when one whose read started later was applied already.
   private async read (): Promise<boolean> {
     const readNumber = ++this.readsStarted
+    const startedAt = this.freshness.startRead()
     const listed = await this.deps.store.list(this.deps.prefix)
     if (listed.err) this.noteFailure(listed.val.message)
-    else if (readNumber > this.lastAppliedRead) this.applyList(listed.val, readNumber)
+    else if (readNumber > this.lastAppliedRead) this.applyRead(listed.val, readNumber, startedAt)
     return !this.failing
   }
 
-  private applyList (objects: readonly external.StoredObject[], readNumber: number): void {
+  private applyRead (objects: readonly external.StoredObject[], readNumber: number, startedAt: number): void {
     this.lastAppliedRead = readNumber
-    const records: serving.TargetRecord[] = []
-    for (const object of objects) {
-      const record = this.deps.decode(object)
-      if (record !== undefined) records.push(record)
-    }
-    this.deps.fleet.apply(records)
+    this.list.replace(objects.flatMap((object) => this.deps.decode(object) ?? []))
+    this.freshness.confirm(startedAt)
+    this.applyToFleet()
+  }
+
+  private applyToFleet (): void {
+    this.appliedAt = this.deps.env.clock.now()
+    this.deps.fleet.apply(this.list.records())
     this.loaded = true
-    if (this.failing) this.deps.log.info({ dependency: 'target_list', targets: records.length }, 'dependency_regained')
+    if (this.failing) this.deps.log.info({ dependency: 'target_list', targets: this.list.size }, 'dependency_regained')
     this.failing = false
   }
 
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -22,15 +22,17 @@
 export class Fleet {
   private readonly targets = new Map<string, targetState.TargetState>()
   /** Load that other gateways report. */
-  readonly peerLoad = new peerLoad.PeerLoad()
+  readonly peerLoad: peerLoad.PeerLoad
   /** Prefill speeds of the engines, by service and stage. */
   readonly speeds = new stageSpeeds.StageSpeeds()
-  /** Cache changes that this gateway got from engines, for the other gateways. */
-  readonly cacheUpdates = new cacheUpdates.CacheUpdates()
+  /** Cache changes that this gateway got from engines, and those that the other gateways tell. */
+  readonly cacheUpdates = new cacheUpdates.CacheUpdates((rows) => this.applyCacheRows(rows))
   private byService = new Map<string, targetState.TargetState[]>()
   private graceUntil = -Infinity
 
-  constructor (private readonly deps: FleetDeps) {}
+  constructor (private readonly deps: FleetDeps) {
+    this.peerLoad = new peerLoad.PeerLoad({ clock: deps.clock, ownRows: () => this.loadRows() })
+  }
 
   /** Targets of a service, leaving ones included. */
   ofService (service: string): readonly targetState.TargetState[] {
@@ -42,8 +44,8 @@
     return this.targets.values()
   }
 
-  /** Load that this gateway puts on targets, for the other gateways. */
-  loadRows (): peerLoad.LoadRow[] {
+  // Load that this gateway puts on targets.
+  private loadRows (): peerLoad.LoadRow[] {
     const rows: peerLoad.LoadRow[] = []
     for (const state of this.targets.values()) {
       const row = state.toRow()
@@ -52,13 +54,13 @@
     return rows
   }
 
-  /** Applies cache changes that another gateway relays; targets that this gateway follows itself are skipped. */
-  applyCacheRows (rows: readonly cacheUpdates.CacheRow[]): void {
+  // Targets that this gateway follows itself are skipped.
+  private applyCacheRows (rows: readonly cacheUpdates.CacheRow[]): void {
     for (const row of rows) {
       const state = this.targets.get(row.target)
       if (state === undefined || state.followed) continue
       if (row.restarted) state.cache.clear()
-      for (const change of row.changes) state.cache.applyReport(change.id, change.tokens)
+      for (const [id, tokens] of row.changes) state.cache.applyReport(id, tokens)
     }
   }
 
--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -58,15 +58,15 @@
    */
   load (now: number): number {
     const reportWeight = Math.max(0, 1 - (now - this.reportedAt) / REPORTED_LOAD_LIFE_MS)
-    return this.running + Math.max(this.known.peerLoad.running(this.record.id, now), this.otherCalls * reportWeight)
+    return this.running + Math.max(this.known.peerLoad.running(this.record.id), this.otherCalls * reportWeight)
   }
 
   /**
    * Prompt tokens of all gateways that the target prefills before those of a new call. Priorities make no difference: an
    * engine prefills the prompts that it has admitted in the order of their arrival.
    */
-  prefillTokensAhead (now: number): number {
-    return this.pendingPrefillTokens + this.known.peerLoad.pendingPrefillTokens(this.record.id, now)
+  prefillTokensAhead (): number {
+    return this.pendingPrefillTokens + this.known.peerLoad.pendingPrefillTokens(this.record.id)
   }
 
   /** Prefill speed of the engine, in tokens per ms. */
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -205,7 +205,7 @@
     const plan: calls.SendPlan = { target: state.record, remainingMs: call.deadlineAt - sentAt, priority: choice.priority, resumeAfter: this.progress.lastId, ...options }
     const stream = call.route.streaming && options.prefillOnly !== true ? { reply: this.reply, progress: this.progress } : undefined
     const prefillTokens = options.kvSource === undefined ? choice.prefillTokens ?? 0 : 0
-    const tokensAhead = state.prefillTokensAhead(sentAt)
+    const tokensAhead = state.prefillTokensAhead()
     const targetAttempt = new attempt.Attempt(this.deps, { call, plan, state, stream, prefillTokens, ...stallTimeouts.stallTimeouts(call, choice.expectedMs, options.prefillOnly === true) })
     this.currentAttempt = targetAttempt
     const result = await targetAttempt.run()
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -1,6 +1,7 @@
 /** A gateway process: composes its components and stops them in order. */
 import * as directory from '../directory/index.js'
 import * as duties from '../duties/index.js'
+import * as exchange from '../exchange/index.js'
 import type * as external from '../external/index.js'
 import * as fleet from '../fleet/index.js'
 import * as forward from '../forward/index.js'
@@ -79,6 +80,8 @@
   private readonly cacheFeed: fleet.CacheFeed
   private readonly pool: upstream.ConnectionPool
   private readonly peers: peer.TcpPeers
+  private readonly roster: exchange.Roster
+  private readonly exchange: exchange.Exchange
   private readonly directory: directory.Directory
   private readonly gateway: gateway.Gateway
   private readonly frontend: httpFrontend.HttpFrontend
@@ -92,18 +95,23 @@
   constructor (private readonly deps: NodeDeps) {
     const { env, store, log, metrics, settings } = deps
     this.elapsed = new serving.ElapsedClock(env.clock)
-    this.feed = new serving.ConfigFeed({ env, elapsed: this.elapsed, store, propagationMs: settings.bounds.configPropagationMs, log, metrics, ...deps.config })
+    const isRelay = (): boolean => this.exchange.isRelay
+    this.feed = new serving.ConfigFeed({ env, elapsed: this.elapsed, store, propagationMs: settings.bounds.configPropagationMs, isReader: isRelay, log, metrics, ...deps.config })
     this.pool = new upstream.ConnectionPool({ env, metrics })
     this.fleet = new fleet.Fleet({ clock: env.clock, log, onRemoved: (address) => this.pool.dropIdleConnections(address) })
-    this.fleetFeed = new fleet.FleetFeed({ env, store, fleet: this.fleet, leavePropagationMs: settings.bounds.leavePropagationMs, log, ...deps.targets })
+    this.fleetFeed = new fleet.FleetFeed({ env, elapsed: this.elapsed, store, fleet: this.fleet, leavePropagationMs: settings.bounds.leavePropagationMs, isReader: isRelay, log, ...deps.targets })
     this.peers = new peer.TcpPeers(env.timers)
-    this.directory = new directory.Directory({ env, store, peers: this.peers, fleet: this.fleet, self: this.gatewayRecord(), ready: () => this.ready, log })
+    const self = this.gatewayRecord()
+    this.roster = new exchange.Roster({ clock: env.clock, log, self })
+    const windowMs = settings.bounds.usageWindowMs
+    this.usageLedger = new duties.UsageLedger({ env, store, name: `${settings.name}.${settings.incarnation}`, windowMs, isRelay, log })
+    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger]
+    this.exchange = new exchange.Exchange({ env, elapsed: this.elapsed, peers: this.peers, self, roster: this.roster, topics, ready: () => this.ready, log })
+    this.directory = new directory.Directory({ env, store, self, roster: this.roster, isRelay, ready: () => this.ready, log })
     this.cacheFeed = this.createCacheFeed()
     const takeoverDelayMs = settings.bounds.takeoverDelayMs
-    this.lease = new duties.Lease({ env, elapsed: this.elapsed, store, holder: settings.name, incarnation: settings.incarnation, takeoverDelayMs, log })
-    const windowMs = settings.bounds.usageWindowMs
-    this.usageLedger = new duties.UsageLedger({ env, store, name: `${settings.name}.${settings.incarnation}`, windowMs, log })
-    const collector = new duties.UsageCollector({ peers: this.peers, ledger: this.usageLedger, peerAddresses: () => this.directory.peerAddresses() })
+    this.lease = new duties.Lease({ env, elapsed: this.elapsed, store, holder: settings.name, incarnation: settings.incarnation, takeoverDelayMs, contends: isRelay, log })
+    const collector = new duties.UsageCollector({ peers: this.peers, ledger: this.usageLedger, relayAddresses: () => this.exchange.fellowAddresses() })
     this.usageCloser = new duties.UsageCloser({ env, store, lease: this.lease, dutyApi: deps.dutyApi, collector, windowMs, log })
     this.targetOrders = this.createTargetOrders()
     this.gateway = this.createGateway()
@@ -121,6 +129,7 @@
     await this.peers.listen(settings.peerHost, settings.peerPort)
     await this.frontend.listen(settings.callerHost, settings.callerPort)
     this.directory.start()
+    this.exchange.start()
     this.lease.start()
     this.usageLedger.start()
     this.usageCloser.start()
@@ -157,7 +166,7 @@
   async [Symbol.asyncDispose] (): Promise<void> {
     const { env } = this.deps
     this.stopStartedAt ??= env.clock.now()
-    for (const task of [this.usageCloser, this.targetOrders, this.feed, this.fleetFeed, this.cacheFeed, this.pool]) task[Symbol.dispose]()
+    for (const task of [this.usageCloser, this.targetOrders, this.feed, this.fleetFeed, this.cacheFeed, this.exchange, this.pool]) task[Symbol.dispose]()
     await time.withTimeout(env.timers, RELEASE_TIMEOUT_MS, this.releaseLeaseAndDeregister(), () => undefined)
     await this.usageLedger[Symbol.asyncDispose]()
     await this.frontend[Symbol.asyncDispose]()
@@ -173,7 +182,7 @@
     return this.stopStartedAt !== undefined && this.deps.env.clock.now() - this.stopStartedAt > ACCEPT_AFTER_STOP_MS
   }
 
-  private gatewayRecord (): directory.GatewayRecord {
+  private gatewayRecord (): exchange.GatewayRecord {
     const { name, incarnation, domain, callerHost, callerPort, peerHost, peerPort } = this.deps.settings
     return { name, incarnation, domain, front: `${callerHost}:${callerPort}`, peer: `${peerHost}:${peerPort}` }
   }
--- a/src/placement/engine-placer.ts
+++ b/src/placement/engine-placer.ts
@@ -170,7 +170,7 @@
     if (prefillOnly && now - state.kvTransferFailedAt < KV_TRANSFER_PAUSE_MS) return undefined
     const tokensPerMs = state.prefillTokensPerMs(now)
     const work = this.prefillWork(state, tokensPerMs, context)
-    const backlogMs = state.prefillTokensAhead(now) / tokensPerMs
+    const backlogMs = state.prefillTokensAhead() / tokensPerMs
     const prefillMs = work.prefillTokens / tokensPerMs
     const handover = prefillOnly ? this.cheapestHandover(state, context) : undefined
     if (prefillOnly && handover === undefined) return undefined
@@ -219,7 +219,7 @@
     for (const state of states) {
       const { stage, domain } = state.record
       if (stage === 'prefill') continue
-      const backlogMs = state.prefillTokensAhead(now) / state.prefillTokensPerMs(now)
+      const backlogMs = state.prefillTokensAhead() / state.prefillTokensPerMs(now)
       const cost = this.mixedCost(state, now) + backlogMs + lateStreamCostMs(1, backlogMs, gapSloMs)
       if (cost < (byDomain.get(domain)?.cost ?? Infinity)) byDomain.set(domain, { state, delayMs: slotDelayMs(state, now) + backlogMs, cost })
     }
--- a/src/serving/config-feed.ts
+++ b/src/serving/config-feed.ts
@@ -1,4 +1,9 @@
-/** Keeps the configuration up to date by polling the store. */
+/**
+ * Keeps the configuration up to date. Relays poll the store; members get the configuration and its age from their relay, and
+ * read the store themselves when that is too old.
+ */
+import * as z from 'zod'
+import type * as exchange from '../exchange/index.js'
 import type * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import * as time from '../time/index.js'
@@ -14,6 +19,18 @@
 /** Time from a failed read to the next one, in ms. */
 const RETRY_INTERVAL_MS = 250
 
+/** Age beyond the read interval up to which a member waits for its relay, in ms: several exchanges and one that is late. */
+const RELAY_SLACK_MS = 350
+
+/**
+ * Largest configuration that a relay passes on, in characters; members read a larger one from the store, whose link is
+ * faster than that of a relay with many members.
+ */
+const MAX_RELAYED_CHARS = 48 * 1024
+
+/** Version in the store, its age when this was sent, and the text unless it is too large or known already. */
+const ConfigState = z.object({ version: z.int(), ageMs: z.number(), text: z.string().optional() })
+
 /** Dependencies of the configuration feed. */
 export interface ConfigFeedDeps {
   readonly env: time.Env
@@ -22,26 +39,32 @@
   readonly key: string
   /** Bound on the time from the acknowledgement of a change until it is in force, in ms. */
   readonly propagationMs: number
+  /** Whether this gateway reads for itself; a member of a relay does not. */
+  readonly isReader: () => boolean
   /** Decodes the stored text; throws when it is not a valid configuration. */
   readonly decode: (text: string) => serving.ServingConfig
   readonly log: log.Logger
   readonly metrics: metrics.Metrics
 }
 
-/** Polls the configuration; an older version never replaces a newer one. */
-export class ConfigFeed implements Disposable {
+/** Holds the configuration; an older version never replaces a newer one. */
+export class ConfigFeed implements Disposable, exchange.Topic {
+  readonly name = 'config'
   readonly freshness: freshness.Freshness
   private table: routeTable.RouteTable | undefined
   private storeVersion = 0
+  private text = ''
   private readonly poller: time.Poller
   private failing = false
   private readonly listeners: Array<(config: serving.ServingConfig) => void> = []
 
   constructor (private readonly deps: ConfigFeedDeps) {
     this.freshness = new freshness.Freshness(deps.elapsed)
+    const intervalMs = READ_INTERVAL_SHARE * deps.propagationMs
     this.poller = new time.Poller({
       timers: deps.env.timers,
-      intervalMs: READ_INTERVAL_SHARE * deps.propagationMs,
+      intervalMs,
+      mayWaitMs: () => deps.isReader() ? 0 : intervalMs + RELAY_SLACK_MS - this.freshness.ageMs,
       retryMs: RETRY_INTERVAL_MS,
       read: async () => await this.read(),
       onError: (err) => deps.log.error({ err }, 'config_read_failed')
@@ -68,6 +91,25 @@
     await this.poller.readNow()
   }
 
+  changesSince (link: exchange.Link, position: number | undefined): exchange.Changes | undefined {
+    if (link.kind === 'relay' || this.table === undefined) return undefined
+    const isKnown = position === this.storeVersion || this.text.length > MAX_RELAYED_CHARS
+    const state: z.infer<typeof ConfigState> = { version: this.storeVersion, ageMs: Math.ceil(this.freshness.ageMs), ...(isKnown ? {} : { text: this.text }) }
+    return { next: this.storeVersion, payload: state }
+  }
+
+  apply (_link: exchange.Link, payload: unknown, sentAt: number | undefined): boolean {
+    const { version, ageMs, text } = ConfigState.parse(payload)
+    if (version > this.storeVersion) {
+      if (text === undefined) this.refresh().catch((err: unknown) => this.deps.log.error({ err }, 'config_read_failed'))
+      if (text === undefined || !this.applyObject({ key: this.deps.key, version, value: text })) return false
+    }
+    if (version === this.storeVersion && sentAt !== undefined) this.freshness.confirm(sentAt - ageMs)
+    return true
+  }
+
+  linkEnded (): void {}
+
   [Symbol.dispose] (): void {
     this.poller[Symbol.dispose]()
   }
@@ -101,6 +143,7 @@
         return false
       }
       this.storeVersion = object.version
+      this.text = object.value
       this.table = new routeTable.RouteTable(config)
       this.deps.log.info({ version: config.version, revision: object.version, routes: config.routes.length }, 'config_applied')
       for (const listener of this.listeners) listener(config)
--- a/src/serving/freshness.ts
+++ b/src/serving/freshness.ts
@@ -6,7 +6,7 @@
  * have been acknowledged while the response was in transit.
  */
 export class Freshness {
-  private confirmedAt = -Infinity
+  private confirmedAtMs = -Infinity
 
   constructor (private readonly clock: elapsedClock.ElapsedClock) {}
 
@@ -17,11 +17,16 @@
 
   /** Notes that the copy was current at `readStartedAt`. */
   confirm (readStartedAt: number): void {
-    this.confirmedAt = Math.max(this.confirmedAt, readStartedAt)
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, readStartedAt)
+  }
+
+  /** Time up to which the copy is known to have been current, in ms on the clock; minus infinity before. */
+  get confirmedAt (): number {
+    return this.confirmedAtMs
   }
 
   /** Age in ms; infinite before the first confirmation. */
   get ageMs (): number {
-    return this.clock.now() - this.confirmedAt
+    return this.clock.now() - this.confirmedAtMs
   }
 }
--- a/src/time/poller.ts
+++ b/src/time/poller.ts
@@ -4,11 +4,16 @@
 /** Maximum number of concurrent reads. */
 const MAX_CONCURRENT_READS = 3
 
+/** Shortest wait of a read that is due, in ms. */
+const MIN_WAIT_MS = 20
+
 /** Dependencies of a poller. */
 export interface PollerDeps {
   readonly timers: Timers
   /** Time between the starts of two reads, in ms. */
   readonly intervalMs: number
+  /** Time for which a read that is due can still wait, in ms; absent when it never can. */
+  readonly mayWaitMs?: () => number
   /** Time between the starts of two reads after one that failed, in ms. */
   readonly retryMs: number
   /** Reads once; resolves to whether the read succeeded. */
@@ -47,7 +52,12 @@
   }
 
   private tick (): void {
-    const { timers, intervalMs, retryMs, onError } = this.deps
+    const { timers, intervalMs, mayWaitMs, retryMs, onError } = this.deps
+    const waitMs = mayWaitMs?.() ?? 0
+    if (waitMs > 0) {
+      this.timer = timers.after(Math.max(MIN_WAIT_MS, waitMs), () => this.tick())
+      return
+    }
     // The timer is set before the read ends: the read after a failure still comes after `intervalMs`, the one after that
     // sooner.
     this.timer = timers.after(this.lastReadFailed ? retryMs : intervalMs, () => this.tick())
