Log the age of the target list, kept targets and the time to the write of a request

Metrics: godwitpoint_target_list_age_seconds, godwitpoint_sends_to_missing_targets_total.

No decision changes.

--- a/src/fleet/fleet-feed.ts
+++ b/src/fleet/fleet-feed.ts
@@ -78,6 +78,11 @@
     return this.loaded
   }
 
+  /** Age of the list, in ms; infinite before the first. */
+  get listAgeMs (): number {
+    return this.freshness.ageMs
+  }
+
   changesSince (link: exchange.Link, position: number | undefined): exchange.Changes | undefined {
     if (link.kind !== 'member' || !this.loaded) return undefined
     const complete = position === undefined || !this.list.knowsChangesSince(position)
@@ -108,7 +113,7 @@
     const readNumber = ++this.readsStarted
     const startedAt = this.freshness.startRead()
     const listed = await this.deps.store.list(this.deps.prefix)
-    if (listed.err) this.noteFailure(listed.val.message)
+    if (listed.err) this.noteFailure(listed.val.message, startedAt)
     else if (readNumber > this.lastAppliedRead) this.applyRead(listed.val, readNumber, startedAt)
     return !this.failing
   }
@@ -128,9 +133,10 @@
     this.failing = false
   }
 
-  private noteFailure (reason: string): void {
+  private noteFailure (reason: string, startedAt: number): void {
     this.deps.fleet.noteListFailure()
-    if (!this.failing) this.deps.log.warn({ dependency: 'target_list', reason }, 'dependency_lost')
+    const readMs = Math.round(this.deps.elapsed.now() - startedAt)
+    if (!this.failing) this.deps.log.warn({ dependency: 'target_list', reason, age_ms: Math.round(this.listAgeMs), read_ms: readMs }, 'dependency_lost')
     this.failing = true
   }
 }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -78,7 +78,9 @@
     }
     const inGrace = this.deps.clock.now() < this.graceUntil
     for (const state of [...this.targets.values()]) {
-      if (!listed.has(state.record.id) && !(inGrace && !state.record.leaving)) this.remove(state)
+      if (listed.has(state.record.id)) state.missingSince = undefined
+      else if (inGrace && !state.record.leaving) this.keep(state)
+      else this.remove(state)
     }
     this.indexByService()
   }
@@ -106,11 +108,18 @@
     state.record = leaving === record.leaving ? record : { ...record, leaving }
   }
 
+  // Keeps a target that is missing from the list, since its record may only have expired.
+  private keep (state: targetState.TargetState): void {
+    if (state.missingSince !== undefined) return
+    state.missingSince = this.deps.clock.now()
+    this.deps.log.info({ target: state.record.id, service: state.record.service, for_ms: Math.round(this.graceUntil - state.missingSince) }, 'target_kept')
+  }
+
   private remove (state: targetState.TargetState): void {
     state.removed = true
     this.targets.delete(state.record.id)
     this.deps.onRemoved(state.record.address)
-    this.deps.log.info({ target: state.record.id, service: state.record.service, address: state.record.address, was_leaving: state.record.leaving }, 'target_gone')
+    this.deps.log.info({ target: state.record.id, service: state.record.service, address: state.record.address, was_leaving: state.record.leaving, missing_ms: state.missingMs(this.deps.clock.now()) }, 'target_gone')
   }
 
   private indexByService (): void {
--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -31,6 +31,8 @@
   kvTransferFailedAt = -Infinity
   /** Whether the target was removed from the fleet. */
   removed = false
+  /** When the target was first missing from the list, in ms on the monotonic clock; undefined while it is listed. */
+  missingSince: number | undefined
   /** Whether this gateway polls the target itself for cache changes, and skips those that other gateways relay. */
   followed = false
   /** Calls of other gateways, by the target's last report. */
@@ -46,6 +48,11 @@
     return !this.removed && !this.record.leaving && this.failures.isUsable(now)
   }
 
+  /** Time for which the target has been missing from the list, in ms, rounded; undefined while it is listed. */
+  missingMs (now: number): number | undefined {
+    return this.missingSince === undefined ? undefined : Math.round(now - this.missingSince)
+  }
+
   /** Applies the load that the target reported; this gateway's own calls are subtracted, so they count once. */
   applyReportedLoad (load: calls.ReportedLoad, now: number): void {
     this.otherCalls = Math.max(0, load.running + load.waiting - this.running)
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -87,11 +87,18 @@
   /** Time from the send to the first event, in ms, rounded; undefined before it. */
   firstEventMs: number | undefined
 
+  /** Time from the send until the request was written, in ms, rounded; undefined before it. */
+  writeMs: number | undefined
+
   /** Aborts the attempt and closes its connection, so that the target stops working on it. */
   stop (): void {
     this.abortWith({ kind: 'stopped' })
   }
 
+  onWrite (): void {
+    this.writeMs = Math.round(this.deps.env.clock.now() - this.sentAt)
+  }
+
   onHead (status: number, headers: upstream.ResponseHeaders): void {
     this.noteByte()
     const { call, state, stream } = this.spec
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -32,6 +32,8 @@
   readonly placerFor: (call: calls.Call) => placement.Placer
   readonly budgetFor: (service: string) => retry.SharedRetryBudget
   readonly fleet: fleet.Fleet
+  /** Age of the list of targets, in ms. */
+  readonly listAgeMs: () => number
   readonly log: log.Logger
   readonly metrics: metrics.Metrics
   /** Closes the idle connections to an address. */
@@ -202,6 +204,8 @@
   private async send (state: fleet.TargetState, choice: placement.Placement, options: SendOptions): Promise<attempt.AttemptResult> {
     const { call } = this
     const sentAt = this.now()
+    const listAgeMs = Math.round(this.deps.listAgeMs())
+    const missingMs = state.missingMs(sentAt)
     const plan: calls.SendPlan = { target: state.record, remainingMs: call.deadlineAt - sentAt, priority: choice.priority, resumeAfter: this.progress.lastId, ...options }
     const stream = call.route.streaming && options.prefillOnly !== true ? { reply: this.reply, progress: this.progress } : undefined
     const prefillTokens = options.kvSource === undefined ? choice.prefillTokens ?? 0 : 0
@@ -213,10 +217,15 @@
     const endedAt = this.now()
     this.times.addAttempt(sentAt, endedAt)
     this.deps.metrics.count('godwitpoint_placements_total', `phase="${phaseOf(options)}",in_time="${choice.priority < fleet.FIRST_DEFERRED_PRIORITY}"`)
+    this.deps.metrics.recordDuration('godwitpoint_target_list_age', listAgeMs)
+    if (missingMs !== undefined) this.deps.metrics.count('godwitpoint_sends_to_missing_targets_total')
     this.deps.log.info({
       id: call.id,
       route: call.route.name,
       target: state.record.id,
+      list_age_ms: listAgeMs,
+      missing_ms: missingMs,
+      write_ms: targetAttempt.writeMs,
       phase: phaseOf(options),
       priority: choice.priority,
       waited_ms: Math.round(sentAt - call.arrivedAt),
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -212,6 +212,7 @@
       placerFor: (call) => call.service.engine === undefined ? plainPlacer : enginePlacer,
       budgetFor: (service) => this.budgetFor(service),
       fleet: this.fleet,
+      listAgeMs: () => this.fleetFeed.listAgeMs,
       log,
       metrics,
       dropIdleConnections: (address) => this.pool.dropIdleConnections(address)
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -144,6 +144,7 @@
     if (this.written) controller.abort(new Error('connection lost; the request is not resent'))
     this.controller = controller
     this.written = true
+    if (!this.finished) this.handler.onWrite?.()
   }
 
   onResponseStart (_controller: undici.Dispatcher.DispatchController, status: number, headers: types.ResponseHeaders): void {
--- a/src/upstream/types.ts
+++ b/src/upstream/types.ts
@@ -28,6 +28,8 @@
 
 /** Receives a response as it arrives; nothing follows `onEnd` or `onError`. */
 export interface ResponseHandler {
+  /** Called when the connection is open, before the first byte of the request is written. */
+  onWrite? (): void
   onHead (status: number, headers: ResponseHeaders): void
   onData (chunk: Uint8Array): void
   onEnd (): void
--- a/test/forward/forwarder.test.ts
+++ b/test/forward/forwarder.test.ts
@@ -30,6 +30,7 @@
     placerFor: () => placer,
     budgetFor: () => budget,
     fleet,
+    listAgeMs: () => 0,
     log: log.SILENT_LOGGER,
     metrics: counters,
     dropIdleConnections: () => {}
--- a/test/gateway/end-to-end.test.ts
+++ b/test/gateway/end-to-end.test.ts
@@ -56,7 +56,7 @@
     chai.expect(res.status).to.equal(503)
     chai.expect(Number(res.headers['retry-after'])).to.be.greaterThan(0)
     const text = gw.linesOf('r1').join('\n')
-    chai.expect(text).to.match(/event=attempt_ended .*target=i-1 .*kind=not_run/)
+    chai.expect(text).to.match(/event=attempt_ended .*target=i-1 list_age_ms=\d+ write_ms=\d+ .*kind=not_run/)
     chai.expect(text).to.match(/event=call_refused .*status=503 .*ran=no/)
   })
 
--- a/test/replay/swing.test.ts
+++ b/test/replay/swing.test.ts
@@ -81,6 +81,7 @@
       placerFor: () => placer,
       budgetFor: () => budget,
       fleet,
+      listAgeMs: () => 0,
       log: log.SILENT_LOGGER,
       metrics: new metrics.Metrics(),
       dropIdleConnections: () => {}
