Read again soon after the first failed read, and ignore failures that were overtaken

A reader of the store that loses one read knows nothing new for a further interval, so a list can be two intervals old (3.2 s where the bound is 4 s) after one lost read, and one lost read cannot be told from an outage.

Cause: the poller sets the timer of the next read when a read starts, and takes any read that ends for the newest one. A read that was started earlier and fails later therefore switched to the short interval, and the read after a first failure came only after the long one.

Change: reads are numbered; an outcome counts only when no read that was started later has ended. A first failure brings the next read after retryMs.

--- a/src/time/poller.ts
+++ b/src/time/poller.ts
@@ -14,7 +14,7 @@
   readonly intervalMs: number
   /** Time for which a read that is due can still wait, in ms; absent when it never can. */
   readonly mayWaitMs?: () => number
-  /** Time between the starts of two reads after one that failed, in ms. */
+  /** Time from a failed read to the next one, and between the starts of two reads while they fail, in ms. */
   readonly retryMs: number
   /** Reads once; resolves to whether the read succeeded. */
   readonly read: () => Promise<boolean>
@@ -25,8 +25,12 @@
 /** Repeats a read until disposed. */
 export class Poller implements Disposable {
   private timer: Disposable | undefined
+  private stopped = false
   private activeReads = 0
-  private lastReadFailed = false
+  private readsStarted = 0
+  /** Number of the read that was started last among those that have ended. */
+  private newestEnded = 0
+  private failing = false
 
   constructor (private readonly deps: PollerDeps) {}
 
@@ -38,29 +42,42 @@
   /** Reads immediately, unless the maximum number of reads is in progress. */
   async readNow (): Promise<void> {
     if (this.activeReads >= MAX_CONCURRENT_READS) return
+    const number = ++this.readsStarted
     this.activeReads++
     try {
-      this.lastReadFailed = !await this.deps.read()
+      this.noteOutcome(number, await this.deps.read())
     } finally {
       this.activeReads--
     }
   }
 
   [Symbol.dispose] (): void {
+    this.stopped = true
     this.timer?.[Symbol.dispose]()
-    this.timer = undefined
+  }
+
+  // A read that ends after one that was started later tells nothing new.
+  private noteOutcome (number: number, succeeded: boolean): void {
+    if (number < this.newestEnded) return
+    this.newestEnded = number
+    const firstFailure = !succeeded && !this.failing
+    this.failing = !succeeded
+    if (firstFailure) this.schedule(this.deps.retryMs)
   }
 
   private tick (): void {
-    const { timers, intervalMs, mayWaitMs, retryMs, onError } = this.deps
+    const { intervalMs, mayWaitMs, retryMs, onError } = this.deps
     const waitMs = mayWaitMs?.() ?? 0
     if (waitMs > 0) {
-      this.timer = timers.after(Math.max(MIN_WAIT_MS, waitMs), () => this.tick())
+      this.schedule(Math.max(MIN_WAIT_MS, waitMs))
       return
     }
-    // The timer is set before the read ends: the read after a failure still comes after `intervalMs`, the one after that
-    // sooner.
-    this.timer = timers.after(this.lastReadFailed ? retryMs : intervalMs, () => this.tick())
+    this.schedule(this.failing ? retryMs : intervalMs)
     this.readNow().catch(onError)
   }
+
+  private schedule (delayMs: number): void {
+    this.timer?.[Symbol.dispose]()
+    if (!this.stopped) this.timer = this.deps.timers.after(delayMs, () => this.tick())
+  }
 }
