Keep a missing target only when its record may have expired, and only once

Cause: a target that is missing from the list was kept for 2.2 s after the last failed read of the list, whatever had happened to its record. A read that was started before the last good one and failed later extended the period, it covered records that were in a list read after the return of the store and vanished then, and one lost read was enough. The list is applied at reads only, up to 0.4 of the bound apart, so grace and interval together exceed it. Class: a fact about one record is derived from a process-wide timer that an event without order starts.

Change: a list says until when missing targets are kept only when it is the first one after an outage: two failed reads in a row that were started after the last good one, for at least two heartbeats of the targets, which is the shortest time in which the record of a running target can expire. They are kept for 2.0 s from the start of that read, to the ms and not to the next list. A target that was listed after the return and vanishes has left. The list is read once more just before the end of that time.

--- a/src/fleet/fleet-feed.ts
+++ b/src/fleet/fleet-feed.ts
@@ -23,6 +23,18 @@
 /** Time after which a list is applied again although it has not changed, in ms: targets may be kept for a while. */
 const REAPPLY_INTERVAL_MS = 1_000
 
+/**
+ * Time after the return of the store within which targets whose records had expired meanwhile have registered again, in ms;
+ * one that is still missing then has left.
+ */
+const REREGISTRATION_MS = 2_000
+
+/** Time before the end of {@link REREGISTRATION_MS} at which the list is read once more, in ms. */
+const LAST_READ_MARGIN_MS = 100
+
+/** Failed reads in a row after which the store counts as having been away; a single one may be lost on the way. */
+const OUTAGE_FAILED_READS = 2
+
 /** Changes of the list, and its age when this was sent; `complete`: other targets are not in the list. */
 const ListChanges = z.object({ ageMs: z.number(), complete: z.boolean(), records: z.array(targetList.TargetRecord), removed: z.array(z.string()) })
 
@@ -35,6 +47,8 @@
   readonly prefix: string
   /** Propagation bound, in ms: from this time after its acknowledgement on, a leaving target must get no new work. */
   readonly leavePropagationMs: number
+  /** Shortest time without the store after which the record of a running target may have expired, in ms. */
+  readonly shortestExpiryMs: number
   /** Whether this gateway reads for itself; a member of a relay does not. */
   readonly isReader: () => boolean
   /** Decodes a stored object; undefined when it describes no target. */
@@ -50,6 +64,9 @@
   private readonly freshness: serving.Freshness
   private readonly list = new targetList.TargetList()
   private failing = false
+  /** Failed reads that were started after the list in use was confirmed. */
+  private failedReads = 0
+  private lastRead: Disposable | undefined
   private readsStarted = 0
   private lastAppliedRead = 0
   private loaded = false
@@ -97,8 +114,8 @@
     if (complete && confirmedAt < this.freshness.confirmedAt) return false
     if (complete) this.list.replace(records)
     else this.list.update(records, removed)
-    this.freshness.confirm(confirmedAt)
-    if (!this.loaded || complete || records.length + removed.length > 0 || this.deps.env.clock.now() - this.appliedAt >= REAPPLY_INTERVAL_MS) this.applyToFleet()
+    const keepUntil = this.confirm(confirmedAt)
+    if (!this.loaded || complete || records.length + removed.length > 0 || this.deps.env.clock.now() - this.appliedAt >= REAPPLY_INTERVAL_MS) this.applyToFleet(keepUntil)
     return true
   }
 
@@ -106,6 +123,7 @@
 
   [Symbol.dispose] (): void {
     this.poller[Symbol.dispose]()
+    this.lastRead?.[Symbol.dispose]()
   }
 
   // Reads may overlap: a list is dropped when one whose read started later was applied already.
@@ -121,20 +139,42 @@
   private applyRead (objects: readonly external.StoredObject[], readNumber: number, startedAt: number): void {
     this.lastAppliedRead = readNumber
     this.list.replace(objects.flatMap((object) => this.deps.decode(object) ?? []))
-    this.freshness.confirm(startedAt)
-    this.applyToFleet()
+    this.applyToFleet(this.confirm(startedAt))
+  }
+
+  /**
+   * Notes that the list was current at `confirmedAt`. Returns until when targets that are missing from it are kept, in ms on
+   * the monotonic clock; undefined when no record can have expired since the list before.
+   */
+  private confirm (confirmedAt: number): number | undefined {
+    const wasAway = this.failedReads >= OUTAGE_FAILED_READS && confirmedAt - this.freshness.confirmedAt >= this.deps.shortestExpiryMs
+    if (confirmedAt > this.freshness.confirmedAt) this.failedReads = 0
+    this.freshness.confirm(confirmedAt)
+    if (!wasAway) return undefined
+    const remainingMs = REREGISTRATION_MS - (this.deps.elapsed.now() - confirmedAt)
+    this.readBefore(remainingMs)
+    return this.deps.env.clock.now() + remainingMs
+  }
+
+  private readBefore (remainingMs: number): void {
+    this.lastRead?.[Symbol.dispose]()
+    this.lastRead = this.deps.env.timers.after(remainingMs - LAST_READ_MARGIN_MS, () => {
+      this.poller.readNow().catch((err: unknown) => this.deps.log.error({ err }, 'target_list_failed'))
+    })
   }
 
-  private applyToFleet (): void {
+  private applyToFleet (keepUntil: number | undefined): void {
     this.appliedAt = this.deps.env.clock.now()
-    this.deps.fleet.apply(this.list.records())
+    this.deps.fleet.apply(this.list.records(), keepUntil)
     this.loaded = true
     if (this.failing) this.deps.log.info({ dependency: 'target_list', targets: this.list.size }, 'dependency_regained')
     this.failing = false
   }
 
+  // A read that was started before the list in use was confirmed tells nothing about the store since then.
   private noteFailure (reason: string, startedAt: number): void {
-    this.deps.fleet.noteListFailure()
+    if (startedAt <= this.freshness.confirmedAt) return
+    this.failedReads++
     const readMs = Math.round(this.deps.elapsed.now() - startedAt)
     if (!this.failing) this.deps.log.warn({ dependency: 'target_list', reason, age_ms: Math.round(this.listAgeMs), read_ms: readMs }, 'dependency_lost')
     this.failing = true
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -7,9 +7,6 @@
 import * as stageSpeeds from './stage-speeds.js'
 import * as targetState from './target-state.js'
 
-/** Time after a failed read of the target list for which a missing target is not removed, in ms. */
-const MISSING_TARGET_GRACE_MS = 2_200
-
 /** Dependencies of a {@link Fleet}. */
 export interface FleetDeps {
   readonly clock: time.Clock
@@ -28,7 +25,6 @@
   /** Cache changes that this gateway got from engines, and those that the other gateways tell. */
   readonly cacheUpdates = new cacheUpdates.CacheUpdates((rows) => this.applyCacheRows(rows))
   private byService = new Map<string, targetState.TargetState[]>()
-  private graceUntil = -Infinity
 
   constructor (private readonly deps: FleetDeps) {
     this.peerLoad = new peerLoad.PeerLoad({ clock: deps.clock, ownRows: () => this.loadRows() })
@@ -64,23 +60,20 @@
     }
   }
 
-  /** Notes that the list could not be read: records may have expired meanwhile though their targets still run. */
-  noteListFailure (): void {
-    this.graceUntil = this.deps.clock.now() + MISSING_TARGET_GRACE_MS
-  }
-
-  /** Applies a complete list: adds, updates and removes targets. */
-  apply (records: readonly serving.TargetRecord[]): void {
+  /**
+   * Applies a complete list: adds, updates and removes targets. `keepUntil` is set for the first list after a time in which
+   * records may have expired though their targets still run: targets that are missing from it are kept until then, in ms on
+   * the monotonic clock. One that was in that list and is missing from a later one has left.
+   */
+  apply (records: readonly serving.TargetRecord[], keepUntil?: number): void {
     const listed = new Set<string>()
     for (const record of records) {
       listed.add(record.id)
       this.update(record)
     }
-    const inGrace = this.deps.clock.now() < this.graceUntil
     for (const state of [...this.targets.values()]) {
-      if (listed.has(state.record.id)) state.missingSince = undefined
-      else if (inGrace && !state.record.leaving) this.keep(state)
-      else this.remove(state)
+      if (listed.has(state.record.id)) state.kept = undefined
+      else this.keepOrRemove(state, keepUntil)
     }
     this.indexByService()
   }
@@ -108,11 +101,16 @@
     state.record = leaving === record.leaving ? record : { ...record, leaving }
   }
 
-  // Keeps a target that is missing from the list, since its record may only have expired.
-  private keep (state: targetState.TargetState): void {
-    if (state.missingSince !== undefined) return
-    state.missingSince = this.deps.clock.now()
-    this.deps.log.info({ target: state.record.id, service: state.record.service, for_ms: Math.round(this.graceUntil - state.missingSince) }, 'target_kept')
+  private keepOrRemove (state: targetState.TargetState, keepUntil: number | undefined): void {
+    const now = this.deps.clock.now()
+    const until = state.kept?.until ?? keepUntil
+    if (state.record.leaving || until === undefined || now >= until) {
+      this.remove(state)
+      return
+    }
+    if (state.kept !== undefined) return
+    state.kept = { since: now, until }
+    this.deps.log.info({ target: state.record.id, service: state.record.service, for_ms: Math.round(until - now) }, 'target_kept')
   }
 
   private remove (state: targetState.TargetState): void {
--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -17,6 +17,12 @@
   readonly speeds: stageSpeeds.StageSpeeds
 }
 
+/** Since when a target has been missing from the list, and until when it is used nevertheless; ms, monotonic. */
+export interface KeptTarget {
+  readonly since: number
+  readonly until: number
+}
+
 /** Mutable state of a target: load, speed, cache and failures; owned by the {@link Fleet}. */
 export class TargetState {
   readonly failures = new failureRecord.FailureRecord()
@@ -31,8 +37,8 @@
   kvTransferFailedAt = -Infinity
   /** Whether the target was removed from the fleet. */
   removed = false
-  /** When the target was first missing from the list, in ms on the monotonic clock; undefined while it is listed. */
-  missingSince: number | undefined
+  /** Set while the target is used although it is missing from the list. */
+  kept: KeptTarget | undefined
   /** Whether this gateway polls the target itself for cache changes, and skips those that other gateways relay. */
   followed = false
   /** Calls of other gateways, by the target's last report. */
@@ -45,12 +51,12 @@
 
   /** Whether new calls may be sent to the target. */
   acceptsCalls (now: number): boolean {
-    return !this.removed && !this.record.leaving && this.failures.isUsable(now)
+    return !this.removed && !this.record.leaving && (this.kept === undefined || now < this.kept.until) && this.failures.isUsable(now)
   }
 
   /** Time for which the target has been missing from the list, in ms, rounded; undefined while it is listed. */
   missingMs (now: number): number | undefined {
-    return this.missingSince === undefined ? undefined : Math.round(now - this.missingSince)
+    return this.kept === undefined ? undefined : Math.round(now - this.kept.since)
   }
 
   /** Applies the load that the target reported; this gateway's own calls are subtracted, so they count once. */
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -49,6 +49,8 @@
     readonly retryLimits: retry.RetryLimits
     /** Bound within which a target must get no new calls once its leaving is acknowledged, in ms. */
     readonly leavePropagationMs: number
+    /** Shortest time without the store after which the record of a running target may have expired, in ms. */
+    readonly targetExpiryMs: number
     /** Grace period: time that a stop may take, in ms. */
     readonly graceMs: number
     /** Time within which lease holders must not alternate, in ms. */
@@ -99,7 +101,7 @@
     this.feed = new serving.ConfigFeed({ env, elapsed: this.elapsed, store, propagationMs: settings.bounds.configPropagationMs, isReader: isRelay, log, metrics, ...deps.config })
     this.pool = new upstream.ConnectionPool({ env, metrics })
     this.fleet = new fleet.Fleet({ clock: env.clock, log, onRemoved: (address) => this.pool.dropIdleConnections(address) })
-    this.fleetFeed = new fleet.FleetFeed({ env, elapsed: this.elapsed, store, fleet: this.fleet, leavePropagationMs: settings.bounds.leavePropagationMs, isReader: isRelay, log, ...deps.targets })
+    this.fleetFeed = new fleet.FleetFeed({ env, elapsed: this.elapsed, store, fleet: this.fleet, leavePropagationMs: settings.bounds.leavePropagationMs, shortestExpiryMs: settings.bounds.targetExpiryMs, isReader: isRelay, log, ...deps.targets })
     this.peers = new peer.TcpPeers(env.timers)
     const self = this.gatewayRecord()
     this.roster = new exchange.Roster({ clock: env.clock, log, self })
--- a/test/emulator/deployment.ts
+++ b/test/emulator/deployment.ts
@@ -202,6 +202,7 @@
       zones: Object.fromEntries(DOMAINS.map((domain) => [domain, 'region'])),
       listen: { front, ready, control: front, directory },
       portRange: [peerPort, peerPort],
+      heartbeatMs: HEARTBEAT_MS,
       bounds: BOUNDS,
       provider: { address: this.store.address },
       cloud: { address: this.store.address }
--- a/test/exchange/exchange.test.ts
+++ b/test/exchange/exchange.test.ts
@@ -161,6 +161,23 @@
     })
   }
 
+  for (const outageMs of [3_200, 6_000]) {
+    it(`keeps a target whose record expired while the store was away for ${outageMs} ms, at relays and members, and drops it when it does not return`, async () => {
+      const { region, gateways } = await regionOf(30)
+      for (const gateway of gateways) gateway.storeReachable = false
+      await region.virtual.advance(outageMs - 100)
+      const { key, version } = region.store.peek(`${regions.TARGETS_PREFIX}e1`)!
+      await Promise.all([region.store.delete(key, version), region.virtual.advance(100)])
+      for (const gateway of gateways) gateway.storeReachable = true
+      for (let step = 0; step < 19; step++) {
+        await region.virtual.advance(100)
+        for (const gateway of gateways) chai.expect(gateway.target('e1')?.acceptsCalls(region.virtual.now()), `${gateway.name} after ${step}`).to.equal(true)
+      }
+      await region.virtual.advance(1_500)
+      for (const gateway of gateways) chai.expect(gateway.target('e1')?.acceptsCalls(region.virtual.now()) ?? false, gateway.name).to.equal(false)
+    })
+  }
+
   it('does not take a configuration for fresher than its relay has read it', async () => {
     const { region, gateways } = await regionOf(30)
     for (const gateway of gateways) gateway.storeReachable = false
--- /dev/null
+++ b/test/fleet/fleet-feed.test.ts
@@ -0,0 +1,135 @@
+import * as chai from 'chai'
+import * as errors from '../../src/errors/index.js'
+import type * as external from '../../src/external/index.js'
+import * as fleet from '../../src/fleet/index.js'
+import * as log from '../../src/log/index.js'
+import * as serving from '../../src/serving/index.js'
+import * as standin from '../../src/standin/index.js'
+import * as time from '../../src/time/index.js'
+import * as build from '../support/gateway-builders.js'
+
+const PREFIX = 'targets/'
+const LEAVE_BOUND_MS = 2_000
+const HEARTBEAT_MS = 1_200
+
+/** Time within which records that expired while the store was away are back after its return, in ms. */
+const RETURN_MS = 2_000
+
+/** Time after the end of a cut during which a gateway is not held to bounds, in ms. */
+const CONTACT_MS = 3_000
+
+/** Time after which a read of a store that cannot be reached fails, in ms. */
+const CONNECT_TIMEOUT_MS = 600
+
+/** A gateway's list of targets, over a connection to the store that can be cut. */
+class FeedUnderTest implements Disposable {
+  readonly virtual = new time.VirtualTime()
+  readonly store = new standin.MemoryStore(this.virtual)
+  readonly fleet = new fleet.Fleet({ clock: this.virtual, log: log.SILENT_LOGGER, onRemoved: () => {} })
+  private readonly feed: fleet.FleetFeed
+  cut = false
+  failNextReads = 0
+
+  constructor (ids: readonly string[]) {
+    for (const id of ids) this.put(id)
+    const env = this.virtual.env(1)
+    const elapsed = new serving.ElapsedClock(this.virtual)
+    const decode = (object: external.StoredObject): serving.TargetRecord => JSON.parse(object.value) as serving.TargetRecord
+    this.feed = new fleet.FleetFeed({ env, elapsed, store: this.cuttableStore(), prefix: PREFIX, leavePropagationMs: LEAVE_BOUND_MS, shortestExpiryMs: 2 * HEARTBEAT_MS, isReader: () => true, decode, fleet: this.fleet, log: log.SILENT_LOGGER })
+    this.feed.start()
+  }
+
+  [Symbol.dispose] (): void {
+    this.feed[Symbol.dispose]()
+  }
+
+  put (id: string): void {
+    this.store.put(PREFIX + id, JSON.stringify(build.aTarget(id)), 'absent').catch((err: unknown) => { throw err })
+  }
+
+  remove (id: string): void {
+    this.store.delete(PREFIX + id, this.store.peek(PREFIX + id)!.version).catch((err: unknown) => { throw err })
+  }
+
+  accepts (id: string): boolean {
+    return this.fleet.ofService('s').some((state) => state.record.id === id && state.acceptsCalls(this.virtual.now()))
+  }
+
+  /** Advances in small steps until `endMs` and returns the times at which `holds` did not hold, in ms. */
+  async violations (endMs: number, holds: () => boolean): Promise<number[]> {
+    const times: number[] = []
+    while (this.virtual.now() < endMs) {
+      await this.virtual.advance(10)
+      if (!holds()) times.push(this.virtual.now())
+    }
+    return times
+  }
+
+  private cuttableStore (): external.ObjectStore {
+    const { store } = this
+    return {
+      get: async (key, mode) => await store.get(key, mode),
+      list: async (prefix, mode) => {
+        if (!this.cut && this.failNextReads === 0) return await store.list(prefix, mode)
+        this.failNextReads = Math.max(0, this.failNextReads - 1)
+        await time.delay(this.virtual, CONNECT_TIMEOUT_MS)
+        return errors.Err({ kind: 'unavailable', message: 'connect timeout' })
+      },
+      put: async (key, value, expected) => await store.put(key, value, expected),
+      delete: async (key, expected) => await store.delete(key, expected),
+      watch: async (prefix, version, waitMs) => await store.watch(prefix, version, waitMs)
+    }
+  }
+}
+
+describe('FleetFeed', () => {
+  for (const removedAfterMs of [400, 700, 1_000, 1_100, 1_300, 1_600, 2_200]) {
+    it(`sends no calls to a target later than 2 s after its record was removed, ${removedAfterMs} ms after a cut had ended`, async () => {
+      // Reads that were started during the cut fail after its end, some of them after a later one has succeeded.
+      for (let phaseMs = 0; phaseMs < 800; phaseMs += 50) {
+        using feed = new FeedUnderTest(['a', 'b'])
+        await feed.virtual.advance(1_000)
+        feed.cut = true
+        await feed.virtual.advance(6_000 + phaseMs)
+        feed.cut = false
+        const healedAt = feed.virtual.now()
+        await feed.virtual.advance(removedAfterMs)
+        feed.remove('a')
+        const boundAt = Math.max(feed.virtual.now() + LEAVE_BOUND_MS, healedAt + CONTACT_MS)
+        await feed.violations(boundAt, () => true)
+        chai.expect(await feed.violations(boundAt + 1_500, () => !feed.accepts('a')), `phase ${phaseMs}`).to.deep.equal([])
+      }
+    })
+  }
+
+  it('sends no calls to a target later than 2 s after its record was removed, when one read fails', async () => {
+    for (let phaseMs = 0; phaseMs < 800; phaseMs += 50) {
+      using feed = new FeedUnderTest(['a', 'b'])
+      await feed.virtual.advance(2_000 + phaseMs)
+      feed.failNextReads = 1
+      await feed.virtual.advance(5)
+      feed.remove('a')
+      const boundAt = feed.virtual.now() + LEAVE_BOUND_MS
+      await feed.violations(boundAt, () => true)
+      chai.expect(await feed.violations(boundAt + 1_500, () => !feed.accepts('a')), `phase ${phaseMs}`).to.deep.equal([])
+    }
+  })
+
+  it('keeps targets whose records expired while the store was away, and drops those that do not return', async () => {
+    for (let phaseMs = 0; phaseMs < 800; phaseMs += 50) {
+      using feed = new FeedUnderTest(['a', 'b', 'c'])
+      await feed.virtual.advance(1_000)
+      feed.cut = true
+      await feed.virtual.advance(3_600)
+      feed.remove('a')
+      feed.remove('c')
+      await feed.virtual.advance(1_400 + phaseMs)
+      feed.cut = false
+      const healedAt = feed.virtual.now()
+      chai.expect(await feed.violations(healedAt + RETURN_MS - 50, () => feed.accepts('a') && feed.accepts('c')), `phase ${phaseMs}, before the return`).to.deep.equal([])
+      feed.put('a')
+      chai.expect(await feed.violations(healedAt + CONTACT_MS, () => feed.accepts('a')), `phase ${phaseMs}, returned`).to.deep.equal([])
+      chai.expect(await feed.violations(healedAt + CONTACT_MS + 1_500, () => feed.accepts('a') && !feed.accepts('c')), `phase ${phaseMs}, after that`).to.deep.equal([])
+    }
+  })
+})
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -25,19 +25,38 @@
   it('removes a target that is missing from the list, but not while its record may have expired during a store outage', async () => {
     const { virtual, knownTargets, usableIds } = setUp()
     knownTargets.apply([build.aTarget('a'), build.aTarget('b')])
-    knownTargets.noteListFailure()
+    knownTargets.apply([build.aTarget('b')], 2_000)
+    await virtual.advance(1_999)
     knownTargets.apply([build.aTarget('b')])
     chai.expect(usableIds()).to.deep.equal(['a', 'b'])
-    await virtual.advance(2_300)
+    await virtual.advance(1)
+    chai.expect(usableIds(), 'before the next list').to.deep.equal(['b'])
     knownTargets.apply([build.aTarget('b')])
-    chai.expect(usableIds()).to.deep.equal(['b'])
+    chai.expect(knownTargets.ofService('s')).to.have.length(1)
+  })
+
+  it('removes a target that was listed after a store outage and is missing from a later list', () => {
+    const { knownTargets, usableIds } = setUp()
+    knownTargets.apply([build.aTarget('a'), build.aTarget('b'), build.aTarget('c')])
+    knownTargets.apply([build.aTarget('a'), build.aTarget('b')], 2_000)
+    knownTargets.apply([build.aTarget('b')])
+    chai.expect(usableIds()).to.deep.equal(['b', 'c'])
+  })
+
+  it('keeps a target for an outage once: it is kept again only after it was listed', async () => {
+    const { virtual, knownTargets, usableIds } = setUp()
+    knownTargets.apply([build.aTarget('a')])
+    knownTargets.apply([], 2_000)
+    await virtual.advance(1_000)
+    knownTargets.apply([], 3_000)
+    await virtual.advance(1_000)
+    chai.expect(usableIds()).to.deep.equal([])
   })
 
   it('removes a leaving target that is missing after a store outage', () => {
     const { knownTargets } = setUp()
     knownTargets.apply([build.aTarget('a', { leaving: true })])
-    knownTargets.noteListFailure()
-    knownTargets.apply([])
+    knownTargets.apply([], 2_000)
     chai.expect(knownTargets.ofService('s')).to.have.length(0)
   })
 
--- a/test/support/gateway-region.ts
+++ b/test/support/gateway-region.ts
@@ -17,6 +17,7 @@
 export const TARGETS_PREFIX = 'servers/'
 export const CONFIG_BOUND_MS = 4_000
 export const LEAVE_BOUND_MS = 4_000
+const TARGET_EXPIRY_MS = 2_400
 const WINDOW_MS = 5_000
 
 /** Time that a call between gateways takes in one direction, in ms. */
@@ -60,7 +61,7 @@
     this.fleet = new fleet.Fleet({ clock: virtual, log: silent, onRemoved: () => {} })
     this.roster = new exchange.Roster({ clock: virtual, log: silent, self })
     this.feed = new serving.ConfigFeed({ env, elapsed, store, key: CONFIG_KEY, propagationMs: CONFIG_BOUND_MS, isReader: isRelay, decode: (text) => build.aConfig({ version: Number(text) }), log: silent, metrics: new metrics.Metrics() })
-    this.fleetFeed = new fleet.FleetFeed({ env, elapsed, store, prefix: TARGETS_PREFIX, leavePropagationMs: LEAVE_BOUND_MS, isReader: isRelay, decode: (object) => JSON.parse(object.value) as serving.TargetRecord, fleet: this.fleet, log: silent })
+    this.fleetFeed = new fleet.FleetFeed({ env, elapsed, store, prefix: TARGETS_PREFIX, leavePropagationMs: LEAVE_BOUND_MS, shortestExpiryMs: TARGET_EXPIRY_MS, isReader: isRelay, decode: (object) => JSON.parse(object.value) as serving.TargetRecord, fleet: this.fleet, log: silent })
     this.ledger = new duties.UsageLedger({ env, store, name: `${name}.${incarnation}`, windowMs: WINDOW_MS, isRelay, log: silent })
     this.collector = new duties.UsageCollector({ peers, ledger: this.ledger, relayAddresses: () => this.exchange.fellowAddresses() })
     const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.ledger]
