Do not replace a member's own read of the target list by an older list of its relay

Cause: a member applied changes that its relay told to the list in use, whatever its age; only complete lists were compared. After a read of its own, a target that had left came back through the relay's older record, and a target that only the own read had listed stayed when it left before the next read of the relay, since no change tells of it.

Change: the relay's changes apply to a list of their own, which replaces the one in use when it is newer.

test/fleet/fleet-feed.test.ts, of a member: both cases fail on the code before.

--- a/src/fleet/fleet-feed.ts
+++ b/src/fleet/fleet-feed.ts
@@ -63,6 +63,10 @@
   private readonly poller: time.Poller
   private readonly freshness: serving.Freshness
   private readonly list = new targetList.TargetList()
+  /** List of the relay of this gateway, to which the changes that the relay tells apply. */
+  private readonly relayList = new targetList.TargetList()
+  /** Whether the list in use is that of the relay, so that its next changes apply to it. */
+  private followsRelay = false
   private failing = false
   /** Failed reads that were started after the list in use was confirmed. */
   private failedReads = 0
@@ -106,16 +110,23 @@
     return { next: this.list.position, payload: { ageMs: Math.ceil(this.freshness.ageMs), complete, ...this.list.changesSince(complete ? 0 : position) } }
   }
 
-  // A complete list that is older than the one in use is not applied; the relay sends it again.
+  // A list of the relay that is older than the one in use is not used before the relay has confirmed it again.
   apply (link: exchange.Link, payload: unknown, sentAt: number | undefined): boolean {
     if (link.kind !== 'relay' || sentAt === undefined) return true
     const { ageMs, complete, records, removed } = ListChanges.parse(payload)
+    if (complete) this.relayList.replace(records)
+    else this.relayList.update(records, removed)
     const confirmedAt = sentAt - ageMs
-    if (complete && confirmedAt < this.freshness.confirmedAt) return false
-    if (complete) this.list.replace(records)
-    else this.list.update(records, removed)
+    if (confirmedAt < this.freshness.confirmedAt) {
+      this.followsRelay = false
+      return true
+    }
+    const isIncremental = !complete && this.followsRelay
+    if (isIncremental) this.list.update(records, removed)
+    else this.list.replace(this.relayList.records())
+    this.followsRelay = true
     const keepUntil = this.confirm(confirmedAt)
-    if (!this.loaded || complete || records.length + removed.length > 0 || this.deps.env.clock.now() - this.appliedAt >= REAPPLY_INTERVAL_MS) this.applyToFleet(keepUntil)
+    if (!isIncremental || records.length + removed.length > 0 || this.deps.env.clock.now() - this.appliedAt >= REAPPLY_INTERVAL_MS) this.applyToFleet(keepUntil)
     return true
   }
 
@@ -139,6 +150,7 @@
   private applyRead (objects: readonly external.StoredObject[], readNumber: number, startedAt: number): void {
     this.lastAppliedRead = readNumber
     this.list.replace(objects.flatMap((object) => this.deps.decode(object) ?? []))
+    this.followsRelay = false
     this.applyToFleet(this.confirm(startedAt))
   }
 
--- a/test/fleet/fleet-feed.test.ts
+++ b/test/fleet/fleet-feed.test.ts
@@ -1,5 +1,6 @@
 import * as chai from 'chai'
 import * as errors from '../../src/errors/index.js'
+import type * as exchange from '../../src/exchange/index.js'
 import type * as external from '../../src/external/index.js'
 import * as fleet from '../../src/fleet/index.js'
 import * as log from '../../src/log/index.js'
@@ -26,16 +27,16 @@
   readonly virtual = new time.VirtualTime()
   readonly store = new standin.MemoryStore(this.virtual)
   readonly fleet = new fleet.Fleet({ clock: this.virtual, log: log.SILENT_LOGGER, onRemoved: () => {} })
-  private readonly feed: fleet.FleetFeed
+  readonly feed: fleet.FleetFeed
   cut = false
   failNextReads = 0
 
-  constructor (ids: readonly string[]) {
+  constructor (ids: readonly string[], isReader = true) {
     for (const id of ids) this.put(id)
     const env = this.virtual.env(1)
     const elapsed = new serving.ElapsedClock(this.virtual)
     const decode = (object: external.StoredObject): serving.TargetRecord => JSON.parse(object.value) as serving.TargetRecord
-    this.feed = new fleet.FleetFeed({ env, elapsed, store: this.cuttableStore(), prefix: PREFIX, leavePropagationMs: LEAVE_BOUND_MS, shortestExpiryMs: 2 * HEARTBEAT_MS, isReader: () => true, decode, fleet: this.fleet, log: log.SILENT_LOGGER })
+    this.feed = new fleet.FleetFeed({ env, elapsed, store: this.cuttableStore(), prefix: PREFIX, leavePropagationMs: LEAVE_BOUND_MS, shortestExpiryMs: 2 * HEARTBEAT_MS, isReader: () => isReader, decode, fleet: this.fleet, log: log.SILENT_LOGGER })
     this.feed.start()
   }
 
@@ -132,4 +133,38 @@
       chai.expect(await feed.violations(healedAt + CONTACT_MS + 1_500, () => feed.accepts('a') && !feed.accepts('c')), `phase ${phaseMs}, after that`).to.deep.equal([])
     }
   })
+
+  describe('of a member', () => {
+    const relay: exchange.Link = { gateway: 'r', incarnation: '1', kind: 'relay' }
+
+    /** A member that has read the list itself, after its relay told it of targets `a` and `b`. */
+    async function memberAfterOwnRead (change: (feed: FeedUnderTest) => void): Promise<FeedUnderTest> {
+      const feed = new FeedUnderTest(['a', 'b'], false)
+      await feed.virtual.advance(50)
+      tell(feed, { ageMs: 0, complete: true, records: [build.aTarget('a'), build.aTarget('b')], removed: [] })
+      change(feed)
+      await feed.virtual.advance(LEAVE_BOUND_MS)
+      return feed
+    }
+
+    function tell (feed: FeedUnderTest, payload: object): void {
+      feed.feed.apply(relay, payload, feed.virtual.now())
+    }
+
+    it('does not take back a target from its relay, whose list is older than the one that it has read itself', async () => {
+      using feed = await memberAfterOwnRead((member) => member.remove('a'))
+      chai.expect(feed.accepts('a')).to.equal(false)
+      tell(feed, { ageMs: LEAVE_BOUND_MS, complete: false, records: [build.aTarget('a', { slots: 9 })], removed: [] })
+      chai.expect(feed.accepts('a')).to.equal(false)
+      tell(feed, { ageMs: 0, complete: false, records: [], removed: ['a'] })
+      chai.expect([feed.accepts('a'), feed.accepts('b')]).to.deep.equal([false, true])
+    })
+
+    it('drops a target that only its own read has listed when the newer list of its relay does not have it', async () => {
+      using feed = await memberAfterOwnRead((member) => member.put('c'))
+      chai.expect(feed.accepts('c')).to.equal(true)
+      tell(feed, { ageMs: 0, complete: false, records: [], removed: [] })
+      chai.expect([feed.accepts('a'), feed.accepts('c')]).to.deep.equal([true, false])
+    })
+  })
 })
