Write no request to a target that left while the request waited for its connection

Cause: a target is checked when a call is placed. A new connection may take up to 700 ms to open, longer than what the reads of the target list leave of the bound when one of them is lost.

Change: the target is checked again when the connection is open, before the first byte is written. A request that is withdrawn there counts as not written, and the call goes to another target.

Tests: a socket test shows that nothing is written, the forwarder's that the call goes elsewhere; both fail on the code before.

--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -51,7 +51,12 @@
 
   /** Whether new calls may be sent to the target. */
   acceptsCalls (now: number): boolean {
-    return !this.removed && !this.record.leaving && (this.kept === undefined || now < this.kept.until) && this.failures.isUsable(now)
+    return !this.hasLeft(now) && this.failures.isUsable(now)
+  }
+
+  /** Whether the target has left or is leaving, as far as is known. */
+  hasLeft (now: number): boolean {
+    return this.removed || this.record.leaving || (this.kept !== undefined && now >= this.kept.until)
   }
 
   /** Time for which the target has been missing from the list, in ms, rounded; undefined while it is listed. */
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -95,8 +95,12 @@
     this.abortWith({ kind: 'stopped' })
   }
 
-  onWrite (): void {
-    this.writeMs = Math.round(this.deps.env.clock.now() - this.sentAt)
+  // The target may have left while the request waited for a connection.
+  mayWrite (): boolean {
+    const now = this.deps.env.clock.now()
+    if (this.spec.state.hasLeft(now)) return false
+    this.writeMs = Math.round(now - this.sentAt)
+    return true
   }
 
   onHead (status: number, headers: upstream.ResponseHeaders): void {
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -143,8 +143,11 @@
     // undici may start a request again on a new connection, which would send it twice.
     if (this.written) controller.abort(new Error('connection lost; the request is not resent'))
     this.controller = controller
+    if (!this.finished && this.handler.mayWrite?.() === false) {
+      controller.abort(new Error('withdrawn before it was written'))
+      return
+    }
     this.written = true
-    if (!this.finished) this.handler.onWrite?.()
   }
 
   onResponseStart (_controller: undici.Dispatcher.DispatchController, status: number, headers: types.ResponseHeaders): void {
--- a/src/upstream/types.ts
+++ b/src/upstream/types.ts
@@ -28,8 +28,11 @@
 
 /** Receives a response as it arrives; nothing follows `onEnd` or `onError`. */
 export interface ResponseHandler {
-  /** Called when the connection is open, before the first byte of the request is written. */
-  onWrite? (): void
+  /**
+   * Called when the connection is open, before the first byte of the request is written. Returns false to withdraw the
+   * request: nothing is written, and `onError` follows.
+   */
+  mayWrite? (): boolean
   onHead (status: number, headers: ResponseHeaders): void
   onData (chunk: Uint8Array): void
   onEnd (): void
--- a/test/forward/forwarder.test.ts
+++ b/test/forward/forwarder.test.ts
@@ -79,6 +79,20 @@
     chai.expect(fixture.reply.status).to.equal(200)
   })
 
+  it('sends a call elsewhere whose target has left while the call waited for a connection', async () => {
+    const fixture = setUp()
+    fixture.start(build.aCall({ route: NON_IDEMPOTENT }))
+    const [first] = fixture.upstream.sends
+    const records = [build.aTarget('a'), build.aTarget('b')]
+    const remaining = records.filter((record) => record.address !== first!.req.address)
+    chai.expect(first!.handler.mayWrite!()).to.equal(true)
+    fixture.fleet.apply([...remaining, ...records.filter((record) => !remaining.includes(record)).map((record) => ({ ...record, leaving: true }))])
+    chai.expect(first!.handler.mayWrite!()).to.equal(false)
+    first!.handler.onError({ written: false, message: 'withdrawn' })
+    await fixture.virtual.advance(1)
+    chai.expect(fixture.upstream.sends.map((send) => send.req.address).slice(1)).to.deep.equal(remaining.map((record) => record.address))
+  })
+
   it('does not relay a 503 unless the target reports that the call was not executed', async () => {
     const fixture = setUp()
     fixture.start(build.aCall({ route: NON_IDEMPOTENT }))
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -126,6 +126,19 @@
     chai.expect(await send(pool, address)).to.include({ kind: 'end' })
   })
 
+  it('writes no request that was withdrawn while the connection was being opened', async () => {
+    let received = ''
+    await using server = new ScriptedServer((_, request) => { received += request })
+    using pool = createPool()
+    const address = await server.listen()
+    const outcome = await new Promise<upstream.SendError>((resolve, reject) => {
+      const unexpected = (): void => reject(new Error('the server responded'))
+      pool.send({ address, method: 'POST', path: '/', headers: ['host', 'h'], body: Buffer.from('body'), nonIdempotent: true }, { mayWrite: () => false, onHead: unexpected, onData: unexpected, onEnd: unexpected, onError: resolve })
+    })
+    await new Promise((resolve) => setTimeout(resolve, 50))
+    chai.expect([outcome.written, received]).to.deep.equal([false, ''])
+  })
+
   it('reports that nothing was written when no connection could be opened', async () => {
     const server = new ScriptedServer(() => {})
     const address = await server.listen()
