Pause a target whose address another one has taken instead of listing it anew

What callers saw: calls that took one send more after a crash.

Change: the target stays known and is paused, first for 400 ms and each time twice as long, until its record changes or expires; a record of a later start makes it a new target as before.

test/fleet/fleet.test.ts, two cases; both fail on the code before, which has no pause.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -11,7 +11,7 @@
 export interface FleetDeps {
   readonly clock: time.Clock
   readonly log: log.Logger
-  /** Called when a target is removed, or another one uses its address. */
+  /** Called with the address of a target that was removed, or that another one uses. */
   readonly onRemoved: (address: string) => void
 }
 
@@ -78,11 +78,15 @@
     this.indexByService()
   }
 
-  /** Removes a target after a response showed that another one uses its address. */
-  removeMisaddressed (state: targetState.TargetState): void {
+  /**
+   * Pauses a target after a response to a call that was sent at `sentAt` (ms, monotonic) showed that another one uses its
+   * address, or that it is in another stage than listed. It stays known, since the list names it until its record expires.
+   */
+  noteMisaddressed (state: targetState.TargetState, sentAt: number): void {
     this.deps.log.info({ target: state.record.id, address: state.record.address }, 'target_replaced')
-    this.remove(state)
-    this.indexByService()
+    state.failures.record('unreachable', sentAt, this.deps.clock.now())
+    state.cache.clear()
+    this.deps.onRemoved(state.record.address)
   }
 
   private update (record: serving.TargetRecord): void {
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -256,8 +256,8 @@
     if (result.kind === 'streamed' || (result.kind === 'answered' && result.head.status < 500)) state.failures.record('ok', sentAt, now)
     else if (result.kind === 'answered') state.failures.record('error', sentAt, now)
     else if (result.kind === 'failed') state.failures.record(result.stalled ? 'silent' : 'broken', sentAt, now)
+    else if (result.kind === 'not_run' && result.message === 'wrong_target') this.deps.fleet.noteMisaddressed(state, sentAt)
     else if (result.kind === 'not_run' && options.kvSource === undefined) state.failures.record(result.written ? 'refused' : 'unreachable', sentAt, now)
-    if (result.kind === 'not_run' && result.message === 'wrong_target') this.deps.fleet.removeMisaddressed(state)
     if ((result.kind === 'failed' && result.stalled) || (result.kind === 'not_run' && !result.written)) this.deps.dropIdleConnections(state.record.address)
   }
 
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -53,6 +53,32 @@
     chai.expect(usableIds()).to.deep.equal([])
   })
 
+  it('does not use a target whose address another one has taken when the list, which is not up to date, names it again', async () => {
+    const { virtual, knownTargets, removedAddresses, usableIds } = setUp()
+    const records = [build.aTarget('a'), build.aTarget('b')]
+    knownTargets.apply(records)
+    knownTargets.noteMisaddressed(knownTargets.ofService('s')[0]!, virtual.now())
+    chai.expect(removedAddresses).to.deep.equal([records[0]!.address])
+    await virtual.advance(300)
+    knownTargets.apply(records)
+    chai.expect(usableIds()).to.deep.equal(['b'])
+    knownTargets.apply([build.aTarget('a', { startedAt: 9 }), records[1]!])
+    chai.expect(usableIds(), 'restarted').to.have.members(['a', 'b'])
+  })
+
+  it('tries a target that another one seemed to have replaced again, less and less often', async () => {
+    const { virtual, knownTargets, usableIds } = setUp()
+    knownTargets.apply([build.aTarget('a')])
+    const [state] = knownTargets.ofService('s')
+    for (const pauseMs of [400, 800, 1_600]) {
+      knownTargets.noteMisaddressed(state!, virtual.now())
+      await virtual.advance(pauseMs - 1)
+      chai.expect(usableIds(), `before ${pauseMs}`).to.deep.equal([])
+      await virtual.advance(1)
+      chai.expect(usableIds(), `after ${pauseMs}`).to.deep.equal(['a'])
+    }
+  })
+
   it('removes a leaving target that is missing after a store outage', () => {
     const { knownTargets } = setUp()
     knownTargets.apply([build.aTarget('a', { leaving: true })])
