Ignore a failed read of the configuration that a later one has overtaken

What callers saw: nothing; operators read dependency_lost for a store that answers, and the counter of failed reads moved.

test/serving/config-feed.test.ts, one case, fails on the code before.

--- a/src/serving/config-feed.ts
+++ b/src/serving/config-feed.ts
@@ -114,11 +114,12 @@
     this.poller[Symbol.dispose]()
   }
 
+  // A failed read that was started before the copy in use was confirmed tells nothing about the store since then.
   private async read (): Promise<boolean> {
     const readStartedAt = this.freshness.startRead()
     const result = await this.deps.store.get(this.deps.key)
-    if (result.err) this.noteFailure(result.val.message)
-    else this.applyRead(result.val, readStartedAt)
+    if (result.ok) this.applyRead(result.val, readStartedAt)
+    else if (readStartedAt > this.freshness.confirmedAt) this.noteFailure(result.val.message)
     return !this.failing
   }
 
--- a/test/serving/config-feed.test.ts
+++ b/test/serving/config-feed.test.ts
@@ -22,8 +22,11 @@
   const store = new standin.MemoryStore(virtual)
   const env = { ...virtual.env(1), clock }
   const decode = (text: string): serving.ServingConfig => build.aConfig({ version: Number(text) })
-  const feed = new serving.ConfigFeed({ env, elapsed: new serving.ElapsedClock(clock), store, key: KEY, isReader: () => true, propagationMs: 2_000, decode, log: log.SILENT_LOGGER, metrics: new metrics.Metrics() })
-  return { virtual, clock, store, feed }
+  const events: string[] = []
+  const record = (_: object, event: string): void => { events.push(event) }
+  const logger: log.Logger = { debug: record, info: record, warn: record, error: record }
+  const feed = new serving.ConfigFeed({ env, elapsed: new serving.ElapsedClock(clock), store, key: KEY, isReader: () => true, propagationMs: 2_000, decode, log: logger, metrics: new metrics.Metrics() })
+  return { virtual, clock, store, feed, events }
 }
 
 describe('ConfigFeed', () => {
@@ -40,6 +43,23 @@
     chai.expect(feed.current()!.config.version).to.equal(2)
   })
 
+  it('does not report the store as lost when a read fails that was started before the last good one', async () => {
+    const { virtual, store, feed, events } = setUp()
+    await Promise.all([store.put(KEY, '1', 'absent'), virtual.advance(10)])
+    feed.start()
+    await virtual.advance(895)
+    store.faults.delayMs = 1_500
+    await virtual.advance(10)
+    store.faults.delayMs = 4
+    // The read that began at 910 ends at 2,410, after the one that began at 1,810.
+    await virtual.advance(2_400 - virtual.now())
+    store.faults.down = true
+    await virtual.advance(20)
+    store.faults.down = false
+    await virtual.advance(1_000)
+    chai.expect(events).not.to.include('dependency_lost')
+  })
+
   it('does not replace a version by an older one', async () => {
     const { virtual, store, feed } = setUp()
     await Promise.all([store.put(KEY, '7', 'absent'), virtual.advance(10)])
