Poll an engine's cache changes again after a poll that failed in an unexpected way

Cause: a rejected poll left the engine marked as followed, and a rejected first poll also one of the three places for first polls; after three of them the gateway followed no further engine.

Change: such a poll counts as one without a response, with a log line.

test/fleet/cache.test.ts, one case; fails on the code before (no engine of 20 is followed).

--- a/src/fleet/cache-feed.ts
+++ b/src/fleet/cache-feed.ts
@@ -108,10 +108,16 @@
     this.deps.env.timers.after(batch === undefined ? RETRY_PAUSE_MS : POLL_PAUSE_MS, () => this.pollTarget(state, next))
   }
 
+  // A poll that fails in an unexpected way counts as one without a response, so that the engine is polled again.
   private async fetchChanges (state: targetState.TargetState, since: number, waitMs: number, graceMs: number): Promise<calls.CacheChanges | undefined> {
-    const { protocol } = this.deps
-    const body = await this.fetchBody(state.record.address, protocol.encodeCacheQuery(state.record, since, waitMs), waitMs + graceMs)
-    return body === undefined ? undefined : protocol.decodeCacheChanges(body)
+    const { protocol, log } = this.deps
+    try {
+      const body = await this.fetchBody(state.record.address, protocol.encodeCacheQuery(state.record, since, waitMs), waitMs + graceMs)
+      return body === undefined ? undefined : protocol.decodeCacheChanges(body)
+    } catch (err) {
+      log.error({ err, target: state.record.id }, 'cache_feed_failed')
+      return undefined
+    }
   }
 
   private followersOf (state: targetState.TargetState): string[] {
--- a/test/fleet/cache.test.ts
+++ b/test/fleet/cache.test.ts
@@ -19,12 +19,15 @@
 }
 
 /** A feed over 20 engines; each engine responds to a poll after 1 s. */
-function setUp (selfName: string, gateways: readonly string[]) {
+function setUp (selfName: string, gateways: readonly string[], failingPolls = 0) {
   const virtual = new time.VirtualTime()
   const knownTargets = build.aFleet(virtual, Array.from({ length: 20 }, (_, index) => build.aTarget(`e${index}`, { stage: 'decode' })))
   const protocol: calls.CacheProtocol = {
     encodeCacheQuery: () => ({ method: 'GET', path: '/', headers: [] }) as unknown as calls.CacheQuery,
-    decodeCacheChanges: () => CHANGES
+    decodeCacheChanges: () => {
+      if (failingPolls-- > 0) throw new Error('cannot decode')
+      return CHANGES
+    }
   }
   let polls = 0
   const client = {
@@ -59,6 +62,13 @@
     chai.expect(told).to.equal(20)
   })
 
+  it('polls an engine again whose first poll failed in an unexpected way, and the other engines too', async () => {
+    const { virtual, knownTargets, pollCount } = setUp('g0', ['g0'], 3)
+    await virtual.advance(12_000)
+    chai.expect([...knownTargets.all()].filter((state) => state.cache.tokensOf('p') === 1_000)).to.have.length(20)
+    chai.expect(pollCount()).to.be.greaterThan(23)
+  })
+
   it('polls every engine when there are only four gateways, and tells the others nothing', async () => {
     const { virtual, knownTargets, feed } = setUp('g0', ['g0', 'g1', 'g2', 'g3'])
     await virtual.advance(8_000)
