--- a/src/fleet/fleet-feed.ts
+++ b/src/fleet/fleet-feed.ts
@@ -164,13 +164,14 @@
     this.freshness.confirm(confirmedAt)
     if (!wasAway) return undefined
     const remainingMs = REREGISTRATION_MS - (this.deps.elapsed.now() - confirmedAt)
-    this.readBefore(remainingMs)
+    // A member gets the list that its relay reads then.
+    if (this.deps.isReader()) this.scheduleLastRead(remainingMs - LAST_READ_MARGIN_MS)
     return this.deps.env.clock.now() + remainingMs
   }
 
-  private readBefore (remainingMs: number): void {
+  private scheduleLastRead (delayMs: number): void {
     this.lastRead?.[Symbol.dispose]()
-    this.lastRead = this.deps.env.timers.after(remainingMs - LAST_READ_MARGIN_MS, () => {
+    this.lastRead = this.deps.env.timers.after(delayMs, () => {
       this.poller.readNow().catch((err: unknown) => this.deps.log.error({ err }, 'target_list_failed'))
     })
   }
