--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -269,7 +269,7 @@
     const message = result.kind === 'answered' ? `status ${result.head.status}` : result.kind === 'streamed' ? '' : result.kind === 'stopped' ? this.endedBy ?? 'stopped' : result.message
     this.lastMessage = message
     this.deps.metrics.count('godwitpoint_attempt_failures_total', `kind="${result.kind}",phase="${phase}"`)
-    this.deps.log.info({ id: this.call.id, target: state.record.id, phase, kind: result.kind, reason: message, resumed_after: this.progress.lastId }, 'attempt_failed')
+    this.deps.log.info({ id: this.call.id, target: state.record.id, phase, kind: result.kind, reason: message, resumed_after: this.progress.lastId, segments: result.kind === 'failed' ? sharedSegmentIds(this.call) : undefined }, 'attempt_failed')
   }
 
   private releaseKvHandle (kvSource: calls.KvSource): void {
@@ -315,6 +315,11 @@
   }
 }
 
+/** Ids of the prompt's segments that other calls may share, all but the last, separated by commas; undefined without a prompt. */
+function sharedSegmentIds (call: calls.Call): string | undefined {
+  return call.prompt?.segments.slice(0, -1).map((segment) => segment.id).join(',')
+}
+
 /** Time until a prompt was prefilled, in ms; undefined when the attempt does not show it. */
 function prefillMsOf (result: attempt.AttemptResult, targetAttempt: attempt.Attempt, ms: number): number | undefined {
   if (result.kind === 'streamed') return targetAttempt.firstEventMs
