Quarantine prompt segments under which engines end

Cause: a segment of some prompts ends each engine that begins to write a response to it. Each gateway sent such a call to up to three engines in a row, and the next one again; nothing compared the calls that were lost. Class: a retry moves a fault on when the request itself is the fault.

Ruled out: load (the engines that ended share the segment), the account and the first segment.

Change: src/quarantine. Three different targets that close the connection under a call with a segment, each after the crash before was known, quarantine it unless a call with it was completed lately; gateways exchange this. Calls with it are refused as not executed with the time to the next trial, lost ones get no further attempt, one gateway tries the segment after 30 s and then less and less often. An attempt's failure now has a cause, as only a closed connection counts.

--- a/src/errors/reasons.ts
+++ b/src/errors/reasons.ts
@@ -16,7 +16,7 @@
   'account_queue_full', 'service_queue_full', 'entry_queue_full', 'deadline_unreachable', 'deadline_exceeded',
   'idempotency_key_missing', 'idempotency_key_invalid', 'idempotency_key_expired', 'idempotency_key_reused',
   'claim_store_unavailable', 'claim_in_progress', 'outcome_unknown',
-  'no_target', 'target_unavailable', 'target_failed', 'retry_budget_exhausted',
+  'no_target', 'target_unavailable', 'target_failed', 'retry_budget_exhausted', 'segment_quarantined',
   'entry_stopping', 'entry_not_ready', 'caller_disconnected', 'internal_error'
 ] as const
 
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -9,12 +9,15 @@
 /** Largest response that is buffered until it is complete, in bytes. */
 const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
 
+/** Why an attempt failed: no byte of the target or of the response for too long, the connection ended, or an unusable response. */
+export type FailureCause = 'target_stalled' | 'response_stalled' | 'disconnected' | 'malformed'
+
 /** How an attempt ended. After `failed` the call may or may not have been executed. */
 export type AttemptResult =
   | { readonly kind: 'answered', readonly head: calls.ResponseHead, readonly body: Uint8Array }
   | { readonly kind: 'streamed' }
   | { readonly kind: 'not_run', readonly written: boolean, readonly message: string }
-  | { readonly kind: 'failed', readonly message: string, readonly stalled: boolean }
+  | { readonly kind: 'failed', readonly message: string, readonly cause: FailureCause }
   | { readonly kind: 'stopped' }
 
 /** Dependencies of an attempt. */
@@ -87,6 +90,11 @@
   /** Time from the send to the first event, in ms, rounded; undefined before it. */
   firstEventMs: number | undefined
 
+  /** When the first event arrived, in ms on the monotonic clock; undefined before it. */
+  get firstEventAt (): number | undefined {
+    return this.firstEventMs === undefined ? undefined : this.sentAt + this.firstEventMs
+  }
+
   /** Time from the send until the request was written, in ms, rounded; undefined before it. */
   writeMs: number | undefined
 
@@ -110,8 +118,8 @@
     this.responseHead = head
     if (head.load !== undefined) state.applyReportedLoad(head.load, this.lastByteAt)
     if (head.wrongTarget) this.abortWith({ kind: 'not_run', written: true, message: 'wrong_target' })
-    else if (head.id !== call.id && !(head.id === undefined && status >= 400)) this.abortWith({ kind: 'failed', message: 'response does not carry the id of this request', stalled: false })
-    else if (head.encoded) this.abortWith({ kind: 'failed', message: 'response has a content encoding', stalled: false })
+    else if (head.id !== call.id && !(head.id === undefined && status >= 400)) this.abortWith({ kind: 'failed', message: 'response does not carry the id of this request', cause: 'malformed' })
+    else if (head.encoded) this.abortWith({ kind: 'failed', message: 'response has a content encoding', cause: 'malformed' })
     else this.streaming = stream !== undefined && status === 200
   }
 
@@ -129,14 +137,14 @@
   }
 
   onError (err: upstream.SendError): void {
-    if (err.written) this.settle({ kind: 'failed', message: err.message, stalled: false })
+    if (err.written) this.settle({ kind: 'failed', message: err.message, cause: 'disconnected' })
     else this.settle({ kind: 'not_run', written: false, message: err.message })
   }
 
   private relay (chunk: Uint8Array): void {
     const { reply, progress } = this.spec.stream!
     const batch = this.splitter.push(chunk, progress.lastId)
-    if (this.splitter.pendingBytes > eventSplitter.MAX_EVENT_BYTES) this.abortWith({ kind: 'failed', message: 'event exceeds the size limit', stalled: false })
+    if (this.splitter.pendingBytes > eventSplitter.MAX_EVENT_BYTES) this.abortWith({ kind: 'failed', message: 'event exceeds the size limit', cause: 'malformed' })
     if (batch === undefined) return
     this.noteFirstEvent()
     if (!reply.started) reply.start(this.responseHead!)
@@ -149,13 +157,13 @@
   private bufferChunk (chunk: Uint8Array): void {
     this.chunks.push(chunk)
     this.bufferedBytes += chunk.length
-    if (this.bufferedBytes > MAX_BUFFERED_RESPONSE_BYTES) this.abortWith({ kind: 'failed', message: 'response exceeds the size limit', stalled: false })
+    if (this.bufferedBytes > MAX_BUFFERED_RESPONSE_BYTES) this.abortWith({ kind: 'failed', message: 'response exceeds the size limit', cause: 'malformed' })
   }
 
   private endStream (): void {
     const { reply } = this.spec.stream!
     if (this.splitter.pendingBytes > 0 || !reply.started) {
-      this.settle({ kind: 'failed', message: 'stream ended before its first event or within an event', stalled: false })
+      this.settle({ kind: 'failed', message: 'stream ended before its first event or within an event', cause: 'disconnected' })
       return
     }
     this.settle({ kind: 'streamed' })
@@ -202,7 +210,8 @@
       this.stallTimer = this.deps.env.timers.after(stallAt - now + 1, () => this.watchStall())
       return
     }
-    this.abortWith({ kind: 'failed', message: now >= targetStallAt ? 'target stalled' : 'response stalled', stalled: now >= targetStallAt })
+    if (now >= targetStallAt) this.abortWith({ kind: 'failed', message: 'target stalled', cause: 'target_stalled' })
+    else this.abortWith({ kind: 'failed', message: 'response stalled', cause: 'response_stalled' })
   }
 
   private abortWith (result: AttemptResult): void {
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -5,6 +5,7 @@
 import type * as log from '../log/index.js'
 import type * as metrics from '../metrics/index.js'
 import type * as placement from '../placement/index.js'
+import type * as quarantine from '../quarantine/index.js'
 import type * as retry from '../retry/index.js'
 import * as attempt from './attempt.js'
 import * as callTimes from './call-times.js'
@@ -32,6 +33,7 @@
   readonly placerFor: (call: calls.Call) => placement.Placer
   readonly budgetFor: (service: string) => retry.SharedRetryBudget
   readonly fleet: fleet.Fleet
+  readonly quarantine: Pick<quarantine.SegmentQuarantine, 'retryAfterMs' | 'noteLost' | 'noteAnswered'>
   /** Age of the list of targets, in ms. */
   readonly listAgeMs: () => number
   readonly log: log.Logger
@@ -53,6 +55,8 @@
 /** State of one call over all its attempts. */
 class ForwardedCall {
   private readonly triedTargets = new Set<string>()
+  /** Quarantined segments of which this call is the trial; until its next attempt has ended. */
+  private readonly trials = new Set<string>()
   private readonly progress: streamProgress.StreamProgress
   private readonly times: callTimes.CallTimes
   private readonly budget: retry.SharedRetryBudget
@@ -104,7 +108,13 @@
     if (this.endedBy === 'deadline') return 'deadline_exceeded'
     if (this.endedBy === 'caller_left') return 'caller_disconnected'
     if (this.call.deadlineAt - this.now() < MIN_SEND_MS) return 'deadline_unreachable'
-    return this.call.checkAuthorization()
+    return this.call.checkAuthorization() ?? this.checkQuarantine()
+  }
+
+  private checkQuarantine (): errors.Refusal | undefined {
+    const { prompt } = this.call
+    const retryAfterMs = prompt === undefined ? undefined : this.deps.quarantine.retryAfterMs(prompt, this.trials)
+    return retryAfterMs === undefined ? undefined : new errors.Refusal('segment_quarantined', { step: 'route', ran: 'no', retryAfterMs })
   }
 
   private chooseTarget (): placement.Placement | undefined {
@@ -240,10 +250,20 @@
       status: result.kind === 'answered' ? result.head.status : undefined
     }, 'attempt_ended')
     this.recordOutcome(result, state, sentAt, options)
+    if (options.prefillOnly !== true) this.noteExecution(result, targetAttempt, state, sentAt)
     if (options.fetchFrom === undefined) this.recordPrefill({ tokens: prefillTokens, tokensAhead, ms: prefillMsOf(result, targetAttempt, endedAt - sentAt) }, state)
     return result
   }
 
+  // A prefill writes no response, so it neither clears a segment nor makes it suspect.
+  private noteExecution (result: attempt.AttemptResult, { firstEventAt }: attempt.Attempt, state: fleet.TargetState, sentAt: number): void {
+    const { prompt } = this.call
+    if (prompt === undefined) return
+    this.trials.clear()
+    if (result.kind === 'streamed' || (result.kind === 'answered' && isSuccess(result.head.status))) this.deps.quarantine.noteAnswered(prompt)
+    else if (result.kind === 'failed' && result.cause === 'disconnected') this.deps.quarantine.noteLost({ prompt, target: state.record, sentAt, firstEventAt })
+  }
+
   // Only prompts that are long enough, and that did not wait for long behind others, show how fast an engine is.
   private recordPrefill (prefill: { readonly tokens: number, readonly tokensAhead: number, readonly ms: number | undefined }, state: fleet.TargetState): void {
     const { tokens, tokensAhead, ms } = prefill
@@ -255,10 +275,10 @@
     const now = this.now()
     if (result.kind === 'streamed' || (result.kind === 'answered' && result.head.status < 500)) state.failures.record('ok', sentAt, now)
     else if (result.kind === 'answered') state.failures.record('error', sentAt, now)
-    else if (result.kind === 'failed') state.failures.record(result.stalled ? 'silent' : 'broken', sentAt, now)
+    else if (result.kind === 'failed') state.failures.record(result.cause === 'target_stalled' ? 'silent' : 'broken', sentAt, now)
     else if (result.kind === 'not_run' && result.message === 'wrong_target') this.deps.fleet.noteMisaddressed(state, sentAt)
     else if (result.kind === 'not_run' && options.kvSource === undefined) state.failures.record(result.written ? 'refused' : 'unreachable', sentAt, now)
-    if ((result.kind === 'failed' && result.stalled) || (result.kind === 'not_run' && !result.written)) this.deps.dropIdleConnections(state.record.address)
+    if ((result.kind === 'failed' && result.cause === 'target_stalled') || (result.kind === 'not_run' && !result.written)) this.deps.dropIdleConnections(state.record.address)
   }
 
   private notePrefilled (state: fleet.TargetState): void {
@@ -331,6 +351,10 @@
   return options.kvSource === undefined ? 'run' : 'run_handed_over'
 }
 
+function isSuccess (status: number): boolean {
+  return status >= 200 && status < 300
+}
+
 // Callers take these statuses to mean that the call was not executed. A target's response with such a status and
 // without an explicit report that the call was not executed does not guarantee that, so it must not be relayed.
 function impliesNotExecuted (status: number): boolean {
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -10,6 +10,7 @@
 import type * as metrics from '../metrics/index.js'
 import * as peer from '../peer/index.js'
 import * as placement from '../placement/index.js'
+import * as quarantine from '../quarantine/index.js'
 import * as retry from '../retry/index.js'
 import * as serving from '../serving/index.js'
 import * as time from '../time/index.js'
@@ -80,6 +81,7 @@
   private readonly fleet: fleet.Fleet
   private readonly fleetFeed: fleet.FleetFeed
   private readonly cacheFeed: fleet.CacheFeed
+  private readonly quarantine: quarantine.SegmentQuarantine
   private readonly pool: upstream.ConnectionPool
   private readonly peers: peer.TcpPeers
   private readonly roster: exchange.Roster
@@ -107,7 +109,8 @@
     this.roster = new exchange.Roster({ clock: env.clock, log, self })
     const windowMs = settings.bounds.usageWindowMs
     this.usageLedger = new duties.UsageLedger({ env, store, name: `${settings.name}.${settings.incarnation}`, windowMs, isRelay, log })
-    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger]
+    this.quarantine = new quarantine.SegmentQuarantine({ clock: env.clock, selfName: settings.name, gateways: () => this.directory.gatewayNames(), log })
+    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine]
     this.exchange = new exchange.Exchange({ env, elapsed: this.elapsed, peers: this.peers, self, roster: this.roster, topics, ready: () => this.ready, log })
     this.directory = new directory.Directory({ env, store, self, roster: this.roster, isRelay, ready: () => this.ready, log })
     this.cacheFeed = this.createCacheFeed()
@@ -214,6 +217,7 @@
       placerFor: (call) => call.service.engine === undefined ? plainPlacer : enginePlacer,
       budgetFor: (service) => this.budgetFor(service),
       fleet: this.fleet,
+      quarantine: this.quarantine,
       listAgeMs: () => this.fleetFeed.listAgeMs,
       log,
       metrics,
--- /dev/null
+++ b/src/quarantine/index.ts
@@ -0,0 +1,3 @@
+/** Prompt segments that crash engines, and what keeps calls with them away from engines. */
+export { AnsweredSegments } from './answered-segments.js'
+export { SegmentQuarantine, type LostAttempt, type QuarantineDeps } from './segment-quarantine.js'
--- /dev/null
+++ b/src/quarantine/segment-quarantine.ts
@@ -0,0 +1,217 @@
+/**
+ * Quarantine of prompt segments that crash engines. A segment is suspected when a target ends a connection under a call with
+ * it that was not responded to yet, unless calls with the segment were completed lately. After enough targets it is
+ * quarantined: calls with it are refused, but for a trial now and then by one of the gateways. A completed call clears it.
+ *
+ * Gateways tell each other the targets that ended under each segment. A clearance starts a new list with a higher number, so
+ * it wins over what was told before, and lists of the same number are merged; the order of messages does not matter.
+ */
+import * as z from 'zod'
+import type * as calls from '../call/index.js'
+import type * as exchange from '../exchange/index.js'
+import * as hash from '../hash/index.js'
+import type * as log from '../log/index.js'
+import type * as serving from '../serving/index.js'
+import type * as time from '../time/index.js'
+import * as answeredSegments from './answered-segments.js'
+
+/** Targets that must end under calls with a segment before it is quarantined; one or two may end for another reason. */
+const QUARANTINE_CRASHES = 3
+
+/** Time after its first event for which a response counts as just begun, in ms: its call may have ended the target. */
+const RESPONSE_BEGIN_MS = 100
+
+/** Time after which a segment is no longer suspected, unless it is quarantined, in ms. */
+const SUSPICION_LIFE_MS = 120_000
+
+/** Time from the quarantine to the first trial, in ms; each trial that ends a target doubles it, up to the longest one. */
+const FIRST_TRIAL_MS = 30_000
+const MAX_TRIAL_MS = 30 * 60_000
+
+/** Targets remembered for a segment. */
+const MAX_CRASHES = 16
+
+/** Segments remembered; those that were suspected first are forgotten. */
+const MAX_SUSPECTS = 2_048
+
+/** Segments in one message, which must leave room for calls on a slow link. */
+const MAX_TOLD = 200
+
+/** What gateways tell of a segment. */
+const ToldSuspect = z.object({
+  id: z.string(),
+  /** How often it was cleared. */
+  clearances: z.int(),
+  /** Targets that ended since then. */
+  crashes: z.array(z.string())
+})
+type ToldSuspect = z.infer<typeof ToldSuspect>
+const ToldSuspects = z.array(ToldSuspect)
+
+/** Link of what this gateway found out itself. */
+const OWN = ''
+
+interface Suspect {
+  readonly told: ToldSuspect
+  /** When the last crash became known, and when a trial was last started here, in ms on the monotonic clock. */
+  readonly notedAt: number
+  readonly trialAt: number
+  /** Gateway whose link told of the last change; {@link OWN} for this gateway. */
+  readonly source: string
+  /** Position of the last change. */
+  readonly position: number
+}
+
+/** An attempt whose connection was closed by the target; times in ms on the monotonic clock. */
+export interface LostAttempt {
+  readonly prompt: calls.Prompt
+  readonly target: serving.TargetRecord
+  readonly sentAt: number
+  /** When the first event arrived; undefined before it. */
+  readonly firstEventAt: number | undefined
+}
+
+/** Dependencies of a quarantine. */
+export interface QuarantineDeps {
+  readonly clock: time.Clock
+  readonly selfName: string
+  /** Names of the gateways that are up, this one included. */
+  readonly gateways: () => readonly string[]
+  readonly log: log.Logger
+}
+
+/** Knows suspected segments; a topic of the exchange. */
+export class SegmentQuarantine implements exchange.Topic {
+  readonly name = 'quarantine'
+  private readonly answered = new answeredSegments.AnsweredSegments()
+  private readonly suspects = new Map<string, Suspect>()
+  private position = 0
+
+  constructor (private readonly deps: QuarantineDeps) {}
+
+  /**
+   * Time until a call with this prompt may be tried, in ms; undefined when it may be sent now. Ids of quarantined segments
+   * for which the call is the trial are added to `trials`, and do not keep it back.
+   */
+  retryAfterMs (prompt: calls.Prompt, trials: Set<string>): number | undefined {
+    let waitMs: number | undefined
+    for (const id of sharedIds(prompt)) {
+      const suspect = this.suspects.get(id)
+      if (suspect === undefined || !isQuarantined(suspect) || trials.has(id)) continue
+      if (this.startTrial(suspect)) trials.add(id)
+      else waitMs = Math.max(waitMs ?? 0, this.trialDueAt(suspect) - this.now())
+    }
+    return waitMs === undefined ? undefined : Math.max(0, waitMs)
+  }
+
+  /** Notes that a target closed the connection of an attempt that executed a call. */
+  noteLost ({ prompt, target, sentAt, firstEventAt }: LostAttempt): void {
+    const now = this.now()
+    if (firstEventAt !== undefined && now - firstEventAt > RESPONSE_BEGIN_MS) return
+    const ids = sharedIds(prompt).filter((id) => !this.answered.has(id, now))
+    const quarantined = ids.filter((id) => this.isQuarantined(id))
+    // A quarantined segment explains the crash, so the others are not suspected for it.
+    for (const id of quarantined.length > 0 ? quarantined : ids) this.addCrash(id, `${target.id}/${target.startedAt}`, sentAt)
+  }
+
+  /** Notes that a call was completed: none of its segments crashes engines. */
+  noteAnswered (prompt: calls.Prompt): void {
+    const now = this.now()
+    for (const id of sharedIds(prompt)) {
+      this.answered.add(id, now)
+      const suspect = this.suspects.get(id)
+      if (suspect !== undefined && suspect.told.crashes.length > 0) this.clear(suspect, suspect.told.clearances + 1)
+    }
+  }
+
+  changesSince (link: exchange.Link, position: number | undefined): exchange.Changes | undefined {
+    const since = position ?? 0
+    if (since === this.position && position !== undefined) return undefined
+    const changed = [...this.suspects.values()].filter((suspect) => suspect.position > since).sort((a, b) => a.position - b.position)
+    const sent = changed.slice(0, MAX_TOLD)
+    const next = sent.length < changed.length ? sent[sent.length - 1]!.position : this.position
+    return { next, payload: sent.filter((suspect) => suspect.source !== link.gateway).map((suspect) => suspect.told) }
+  }
+
+  apply (link: exchange.Link, payload: unknown): boolean {
+    for (const told of ToldSuspects.parse(payload)) this.merge(told, link.gateway)
+    return true
+  }
+
+  linkEnded (): void {}
+
+  private isQuarantined (id: string): boolean {
+    const suspect = this.suspects.get(id)
+    return suspect !== undefined && isQuarantined(suspect)
+  }
+
+  // Only an attempt that was sent after the last crash was known is a new sign: many targets may end at once.
+  private addCrash (id: string, target: string, sentAt: number): void {
+    const known = this.suspects.get(id)
+    const crashes = known === undefined || this.hasExpired(known) ? [] : known.told.crashes
+    if (crashes.includes(target) || (crashes.length > 0 && sentAt < known!.notedAt)) return
+    this.set({ id, clearances: known?.told.clearances ?? 0, crashes: [...crashes, target].slice(-MAX_CRASHES) }, OWN)
+  }
+
+  private merge (told: ToldSuspect, source: string): void {
+    const known = this.suspects.get(told.id)
+    const knownClearances = known?.told.clearances ?? 0
+    if (told.clearances < knownClearances) return
+    if (told.crashes.length > 0 && this.answered.has(told.id, this.now())) {
+      this.set({ id: told.id, clearances: told.clearances + 1, crashes: [] }, OWN)
+      return
+    }
+    const own = known !== undefined && told.clearances === knownClearances ? known.told.crashes : []
+    const crashes = [...new Set([...own, ...told.crashes])].slice(-MAX_CRASHES)
+    const isNew = known === undefined || told.clearances > knownClearances || crashes.length > own.length
+    if (isNew) this.set({ id: told.id, clearances: told.clearances, crashes }, source)
+  }
+
+  private clear (suspect: Suspect, clearances: number): void {
+    if (isQuarantined(suspect)) this.deps.log.info({ segment: suspect.told.id, crashes: suspect.told.crashes.length }, 'segment_cleared')
+    this.set({ id: suspect.told.id, clearances, crashes: [] }, OWN)
+  }
+
+  private set (told: ToldSuspect, source: string): void {
+    const known = this.suspects.get(told.id)
+    const suspect: Suspect = { told, notedAt: this.now(), trialAt: known?.trialAt ?? -Infinity, source, position: ++this.position }
+    this.suspects.delete(told.id)
+    this.suspects.set(told.id, suspect)
+    if (isQuarantined(suspect) && !(known !== undefined && isQuarantined(known))) {
+      this.deps.log.warn({ segment: told.id, crashes: told.crashes.join(','), gateway: source === OWN ? undefined : source }, 'segment_quarantined')
+    }
+    if (this.suspects.size > MAX_SUSPECTS) this.suspects.delete(this.suspects.keys().next().value!)
+  }
+
+  // One gateway at a time tries a segment, so that a few calls are enough for all of them.
+  private startTrial (suspect: Suspect): boolean {
+    const now = this.now()
+    const { id } = suspect.told
+    if (now < this.trialDueAt(suspect) || hash.rendezvous(id, this.deps.gateways(), 1)[0] !== this.deps.selfName) return false
+    this.suspects.set(id, { ...suspect, trialAt: now })
+    this.deps.log.info({ segment: id, crashes: suspect.told.crashes.length }, 'segment_trial')
+    return true
+  }
+
+  private trialDueAt (suspect: Suspect): number {
+    const doublings = suspect.told.crashes.length - QUARANTINE_CRASHES
+    return Math.max(suspect.notedAt, suspect.trialAt) + Math.min(MAX_TRIAL_MS, FIRST_TRIAL_MS * 2 ** doublings)
+  }
+
+  private hasExpired (suspect: Suspect): boolean {
+    return !isQuarantined(suspect) && this.now() - suspect.notedAt > SUSPICION_LIFE_MS
+  }
+
+  private now (): number {
+    return this.deps.clock.now()
+  }
+}
+
+function isQuarantined (suspect: Suspect): boolean {
+  return suspect.told.crashes.length >= QUARANTINE_CRASHES
+}
+
+/** Ids of the segments that calls may share: all but the last, which is the request's own. */
+function sharedIds (prompt: calls.Prompt): string[] {
+  return prompt.segments.slice(0, -1).map((segment) => segment.id)
+}
--- a/test/forward/forwarder.test.ts
+++ b/test/forward/forwarder.test.ts
@@ -5,6 +5,7 @@
 import * as log from '../../src/log/index.js'
 import * as metrics from '../../src/metrics/index.js'
 import * as placement from '../../src/placement/index.js'
+import * as quarantine from '../../src/quarantine/index.js'
 import * as retry from '../../src/retry/index.js'
 import * as time from '../../src/time/index.js'
 import * as platformTarget from '../../platform/target-protocol.js'
@@ -30,6 +31,7 @@
     placerFor: () => placer,
     budgetFor: () => budget,
     fleet,
+    quarantine: new quarantine.SegmentQuarantine({ clock: virtual, selfName: 'g', gateways: () => ['g'], log: log.SILENT_LOGGER }),
     listAgeMs: () => 0,
     log: log.SILENT_LOGGER,
     metrics: counters,
@@ -93,6 +95,33 @@
     chai.expect(fixture.upstream.sends.map((send) => send.req.address).slice(1)).to.deep.equal(remaining.map((record) => record.address))
   })
 
+  it('sends a call with a segment that ends engines to no further one, and refuses the next such call at once as not executed', async () => {
+    const fixture = setUp()
+    const prompt = { promptTokens: 9, outputTokens: 1, segments: [{ id: 'bad', tokens: 5 }, { id: 'own', tokens: 4 }] }
+    const call = build.aCall({ prompt, route: { ...STREAM, maxTargets: 9 } })
+    fixture.start(call)
+    for (let sent = 0; sent < 2; sent++) {
+      fixture.upstream.sends[sent]!.handler.onError({ written: true, message: 'other side closed' })
+      await fixture.virtual.advance(10)
+    }
+    // Both targets have ended once and started again.
+    fixture.fleet.apply([build.aTarget('a', { startedAt: 2 }), build.aTarget('b', { startedAt: 2 })])
+    chai.expect(fixture.upstream.sends).to.have.length(3)
+    fixture.upstream.sends[2]!.handler.onError({ written: true, message: 'other side closed' })
+    await fixture.virtual.advance(10)
+    fixture.fleet.apply([build.aTarget('a', { startedAt: 3 }), build.aTarget('b', { startedAt: 3 })])
+    fixture.upstream.sends[3]?.handler.onError({ written: true, message: 'other side closed' })
+    await fixture.virtual.advance(10)
+    const refusal = fixture.outcome() as errors.Refusal
+    chai.expect([refusal.reason, refusal.detail.ran]).to.deep.equal(['segment_quarantined', 'maybe'])
+    const sends = fixture.upstream.sends.length
+    fixture.start(build.aCall({ id: 'c2', prompt, route: STREAM }))
+    await fixture.virtual.advance(1)
+    const next = fixture.outcome() as errors.Refusal
+    chai.expect([next.reason, next.detail.ran, fixture.upstream.sends.length - sends]).to.deep.equal(['segment_quarantined', 'no', 0])
+    chai.expect(next.detail.retryAfterMs).to.be.greaterThan(20_000)
+  })
+
   it('does not relay a 503 unless the target reports that the call was not executed', async () => {
     const fixture = setUp()
     fixture.start(build.aCall({ route: NON_IDEMPOTENT }))
--- a/test/replay/swing.test.ts
+++ b/test/replay/swing.test.ts
@@ -5,6 +5,7 @@
 import * as log from '../../src/log/index.js'
 import * as metrics from '../../src/metrics/index.js'
 import * as placement from '../../src/placement/index.js'
+import * as quarantine from '../../src/quarantine/index.js'
 import * as retry from '../../src/retry/index.js'
 import type * as serving from '../../src/serving/index.js'
 import * as time from '../../src/time/index.js'
@@ -81,6 +82,7 @@
       placerFor: () => placer,
       budgetFor: () => budget,
       fleet,
+      quarantine: new quarantine.SegmentQuarantine({ clock: this.virtual, selfName: 'g', gateways: () => ['g'], log: log.SILENT_LOGGER }),
       listAgeMs: () => 0,
       log: log.SILENT_LOGGER,
       metrics: new metrics.Metrics(),
