--- a/test/gateway/end-to-end.test.ts
+++ b/test/gateway/end-to-end.test.ts
@@ -1,4 +1,5 @@
 import type * as http from 'node:http'
+import type * as net from 'node:net'
 import * as chai from 'chai'
 import * as time from '../../src/time/index.js'
 import * as support from '../support/gateway-process.js'
@@ -46,6 +47,43 @@
   }).timeout(15_000)
 })
 
+describe('a stream that ends with its connection, without length or chunks', () => {
+  const STREAM_CONFIG = {
+    ...support.CONFIG,
+    routes: [{ ...support.CONFIG.routes[0], kind: 'streaming', timeoutMs: 2_000, gapTargetMs: 500 }]
+  }
+
+  /** What a caller gets when the target sends these events and then ends or resets the connection. */
+  async function relay (events: string, end: (socket: net.Socket) => void): Promise<string> {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', (req) => {
+      req.resume()
+      req.on('end', () => {
+        const head = `HTTP/1.1 200 OK\r\nrequest-id: ${req.headers['request-id']}\r\nresponse-stamp: s1\r\ncontent-type: text/event-stream\r\n\r\n`
+        req.socket.write(head + events, () => end(req.socket))
+      })
+    })
+    await gw.start(STREAM_CONFIG)
+    return await gw.request('r1').then((res) => `${res.status} ${res.body}`, () => 'broken off')
+  }
+
+  it('is complete when the connection ends after an event', async () => {
+    chai.expect(await relay('id: 1\ndata: a\n\nid: 2\ndata: b\n\n', (socket) => socket.end())).to.equal('200 id: 1\ndata: a\n\nid: 2\ndata: b\n\n')
+  })
+
+  it('is broken off when the connection ends inside an event', async () => {
+    chai.expect(await relay('id: 1\ndata: a\n\nid: 2\nda', (socket) => socket.end())).to.equal('broken off')
+  })
+
+  it('is broken off when the connection is reset after an event', async () => {
+    chai.expect(await relay('id: 1\ndata: a\n\nid: 2\ndata: b\n\n', (socket) => setTimeout(() => socket.resetAndDestroy(), 30))).to.equal('broken off')
+  })
+
+  it('is broken off when a reset arrives together with the last event', async () => {
+    chai.expect(await relay('id: 1\ndata: a\n\nid: 2\ndata: b\n\n', (socket) => socket.resetAndDestroy())).to.equal('broken off')
+  })
+})
+
 // docs/OPERATIONS.md uses these lines to trace a failed request from its id to the cause.
 describe('log lines of a failed request', () => {
   it('show a request that was refused because no target accepted it', async () => {
