Store quarantined segments, so that they are known after all gateways have ended

Cause: the quarantine was in the memory of the gateways. When all of them end at once while calls with the segment still come, three more engines would end before it is known again, one for each gateway that starts apart from the others more.

Change: one gateway, by rendezvous hashing, writes a segment that is quarantined to godwitpoint-quarantine/, and removes it when it is cleared; all read the list once at their start, until a read succeeds. Nothing is written while no segment is quarantined.

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -82,6 +82,7 @@
   private readonly fleetFeed: fleet.FleetFeed
   private readonly cacheFeed: fleet.CacheFeed
   private readonly quarantine: quarantine.SegmentQuarantine
+  private readonly quarantineRecords: quarantine.QuarantineRecords
   private readonly pool: upstream.ConnectionPool
   private readonly peers: peer.TcpPeers
   private readonly roster: exchange.Roster
@@ -110,6 +111,7 @@
     const windowMs = settings.bounds.usageWindowMs
     this.usageLedger = new duties.UsageLedger({ env, store, name: `${settings.name}.${settings.incarnation}`, windowMs, isRelay, log })
     this.quarantine = new quarantine.SegmentQuarantine({ clock: env.clock, selfName: settings.name, gateways: () => this.directory.gatewayNames(), log })
+    this.quarantineRecords = new quarantine.QuarantineRecords({ env, store, quarantine: this.quarantine, log })
     const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine]
     this.exchange = new exchange.Exchange({ env, elapsed: this.elapsed, peers: this.peers, self, roster: this.roster, topics, ready: () => this.ready, log })
     this.directory = new directory.Directory({ env, store, self, roster: this.roster, isRelay, ready: () => this.ready, log })
@@ -131,6 +133,7 @@
     this.feed.start()
     this.fleetFeed.start()
     this.cacheFeed.start()
+    this.quarantineRecords.start()
     await this.peers.listen(settings.peerHost, settings.peerPort)
     await this.frontend.listen(settings.callerHost, settings.callerPort)
     this.directory.start()
@@ -171,7 +174,7 @@
   async [Symbol.asyncDispose] (): Promise<void> {
     const { env } = this.deps
     this.stopStartedAt ??= env.clock.now()
-    for (const task of [this.usageCloser, this.targetOrders, this.feed, this.fleetFeed, this.cacheFeed, this.exchange, this.pool]) task[Symbol.dispose]()
+    for (const task of [this.usageCloser, this.targetOrders, this.feed, this.fleetFeed, this.cacheFeed, this.quarantineRecords, this.exchange, this.pool]) task[Symbol.dispose]()
     await time.withTimeout(env.timers, RELEASE_TIMEOUT_MS, this.releaseLeaseAndDeregister(), () => undefined)
     await this.usageLedger[Symbol.asyncDispose]()
     await this.frontend[Symbol.asyncDispose]()
--- a/src/quarantine/segment-quarantine.ts
+++ b/src/quarantine/segment-quarantine.ts
@@ -14,6 +14,8 @@
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
 import * as answeredSegments from './answered-segments.js'
+import type * as records from './quarantine-records.js'
+import * as types from './types.js'
 
 /** Targets that must end under calls with a segment before it is quarantined; one or two may end for another reason. */
 const QUARANTINE_CRASHES = 3
@@ -37,22 +39,14 @@
 /** Segments in one message, which must leave room for calls on a slow link. */
 const MAX_TOLD = 200
 
-/** What gateways tell of a segment. */
-const ToldSuspect = z.object({
-  id: z.string(),
-  /** How often it was cleared. */
-  clearances: z.int(),
-  /** Targets that ended since then. */
-  crashes: z.array(z.string())
-})
-type ToldSuspect = z.infer<typeof ToldSuspect>
-const ToldSuspects = z.array(ToldSuspect)
-
-/** Link of what this gateway found out itself. */
+const ToldSuspects = z.array(types.ToldSuspect)
+
+/** Sources of what this gateway found out itself, and of what it read in the store. */
 const OWN = ''
+const STORE = 'store'
 
 interface Suspect {
-  readonly told: ToldSuspect
+  readonly told: types.ToldSuspect
   /** When the last crash became known, and when a trial was last started here, in ms on the monotonic clock. */
   readonly notedAt: number
   readonly trialAt: number
@@ -81,10 +75,12 @@
 }
 
 /** Knows suspected segments; a topic of the exchange. */
-export class SegmentQuarantine implements exchange.Topic {
+export class SegmentQuarantine implements exchange.Topic, records.StoredQuarantine {
   readonly name = 'quarantine'
   private readonly answered = new answeredSegments.AnsweredSegments()
   private readonly suspects = new Map<string, Suspect>()
+  /** Ids of segments that were quarantined or cleared, and are not known to be stored so. */
+  private readonly unsavedIds = new Set<string>()
   private position = 0
 
   constructor (private readonly deps: QuarantineDeps) {}
@@ -140,6 +136,18 @@
 
   linkEnded (): void {}
 
+  restore (told: types.ToldSuspect): void {
+    this.merge(told, STORE)
+  }
+
+  unsaved (): types.ToldSuspect[] {
+    return [...this.unsavedIds].filter((id) => this.isResponsibleFor(id)).flatMap((id) => this.suspects.get(id)?.told ?? [])
+  }
+
+  noteSaved (told: types.ToldSuspect): void {
+    if (this.suspects.get(told.id)?.told === told) this.unsavedIds.delete(told.id)
+  }
+
   private isQuarantined (id: string): boolean {
     const suspect = this.suspects.get(id)
     return suspect !== undefined && isQuarantined(suspect)
@@ -153,7 +161,7 @@
     this.set({ id, clearances: known?.told.clearances ?? 0, crashes: [...crashes, target].slice(-MAX_CRASHES) }, OWN)
   }
 
-  private merge (told: ToldSuspect, source: string): void {
+  private merge (told: types.ToldSuspect, source: string): void {
     const known = this.suspects.get(told.id)
     const knownClearances = known?.told.clearances ?? 0
     if (told.clearances < knownClearances) return
@@ -172,22 +180,33 @@
     this.set({ id: suspect.told.id, clearances, crashes: [] }, OWN)
   }
 
-  private set (told: ToldSuspect, source: string): void {
+  private set (told: types.ToldSuspect, source: string): void {
     const known = this.suspects.get(told.id)
     const suspect: Suspect = { told, notedAt: this.now(), trialAt: known?.trialAt ?? -Infinity, source, position: ++this.position }
     this.suspects.delete(told.id)
     this.suspects.set(told.id, suspect)
-    if (isQuarantined(suspect) && !(known !== undefined && isQuarantined(known))) {
+    const wasQuarantined = known !== undefined && isQuarantined(known)
+    if (isQuarantined(suspect) !== wasQuarantined && source !== STORE) this.unsavedIds.add(told.id)
+    if (isQuarantined(suspect) && !wasQuarantined) {
       this.deps.log.warn({ segment: told.id, crashes: told.crashes.join(','), gateway: source === OWN ? undefined : source }, 'segment_quarantined')
     }
-    if (this.suspects.size > MAX_SUSPECTS) this.suspects.delete(this.suspects.keys().next().value!)
+    if (this.suspects.size > MAX_SUSPECTS) this.forget(this.suspects.keys().next().value!)
+  }
+
+  private forget (id: string): void {
+    this.suspects.delete(id)
+    this.unsavedIds.delete(id)
+  }
+
+  // One gateway tries a segment and stores it.
+  private isResponsibleFor (id: string): boolean {
+    return hash.rendezvous(id, this.deps.gateways(), 1)[0] === this.deps.selfName
   }
 
-  // One gateway at a time tries a segment, so that a few calls are enough for all of them.
   private startTrial (suspect: Suspect): boolean {
     const now = this.now()
     const { id } = suspect.told
-    if (now < this.trialDueAt(suspect) || hash.rendezvous(id, this.deps.gateways(), 1)[0] !== this.deps.selfName) return false
+    if (now < this.trialDueAt(suspect) || !this.isResponsibleFor(id)) return false
     this.suspects.set(id, { ...suspect, trialAt: now })
     this.deps.log.info({ segment: id, crashes: suspect.told.crashes.length }, 'segment_trial')
     return true
