--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -33,7 +33,7 @@
   readonly placerFor: (call: calls.Call) => placement.Placer
   readonly budgetFor: (service: string) => retry.SharedRetryBudget
   readonly fleet: fleet.Fleet
-  readonly quarantine: Pick<quarantine.SegmentQuarantine, 'retryAfterMs' | 'noteLost' | 'noteAnswered'>
+  readonly quarantine: Pick<quarantine.SegmentQuarantine, 'admit' | 'noteLost' | 'noteAnswered'>
   /** Age of the list of targets, in ms. */
   readonly listAgeMs: () => number
   readonly log: log.Logger
@@ -113,7 +113,7 @@
 
   private checkQuarantine (): errors.Refusal | undefined {
     const { prompt } = this.call
-    const retryAfterMs = prompt === undefined ? undefined : this.deps.quarantine.retryAfterMs(prompt, this.trials)
+    const retryAfterMs = prompt === undefined ? undefined : this.deps.quarantine.admit(prompt, this.trials)
     return retryAfterMs === undefined ? undefined : new errors.Refusal('segment_quarantined', { step: 'route', ran: 'no', retryAfterMs })
   }
 
--- a/src/quarantine/segment-quarantine.ts
+++ b/src/quarantine/segment-quarantine.ts
@@ -41,7 +41,7 @@
 
 const ToldSuspects = z.array(types.ToldSuspect)
 
-/** Sources of what this gateway found out itself, and of what it read in the store. */
+/** Sources that are no gateway's link: what this gateway found out itself, and what it read in the store. */
 const OWN = ''
 const STORE = 'store'
 
@@ -50,7 +50,7 @@
   /** When the last crash became known, and when a trial was last started here, in ms on the monotonic clock. */
   readonly notedAt: number
   readonly trialAt: number
-  /** Gateway whose link told of the last change; {@link OWN} for this gateway. */
+  /** Gateway whose link told of the last change, {@link OWN} or {@link STORE}. */
   readonly source: string
   /** Position of the last change. */
   readonly position: number
@@ -86,10 +86,10 @@
   constructor (private readonly deps: QuarantineDeps) {}
 
   /**
-   * Time until a call with this prompt may be tried, in ms; undefined when it may be sent now. Ids of quarantined segments
-   * for which the call is the trial are added to `trials`, and do not keep it back.
+   * Admits a call with this prompt: returns undefined when it may be sent now, or else the time until the next trial, in ms.
+   * Ids of quarantined segments of which the call becomes the trial are added to `trials`; they no longer keep it back.
    */
-  retryAfterMs (prompt: calls.Prompt, trials: Set<string>): number | undefined {
+  admit (prompt: calls.Prompt, trials: Set<string>): number | undefined {
     let waitMs: number | undefined
     for (const id of sharedIds(prompt)) {
       const suspect = this.suspects.get(id)
@@ -153,7 +153,7 @@
     return suspect !== undefined && isQuarantined(suspect)
   }
 
-  // Only an attempt that was sent after the last crash was known is a new sign: many targets may end at once.
+  // An attempt that was sent before the last crash was known is no new sign: many targets may end at once.
   private addCrash (id: string, target: string, sentAt: number): void {
     const known = this.suspects.get(id)
     const crashes = known === undefined || this.hasExpired(known) ? [] : known.told.crashes
--- a/test/quarantine/quarantine-records.test.ts
+++ b/test/quarantine/quarantine-records.test.ts
@@ -38,10 +38,10 @@
     store.faults.down = true
     const second = start('g0', ['g0'])
     await virtual.advance(2_000)
-    chai.expect(second.segments.retryAfterMs(BAD, new Set())).to.equal(undefined)
+    chai.expect(second.segments.admit(BAD, new Set())).to.equal(undefined)
     store.faults.down = false
     await virtual.advance(1_000)
-    chai.expect(second.segments.retryAfterMs(BAD, new Set())).to.be.greaterThan(0)
+    chai.expect(second.segments.admit(BAD, new Set())).to.be.greaterThan(0)
   })
 
   it('writes a segment from one gateway only, again after a write that failed, and nothing while no segment is quarantined', async () => {
--- a/test/quarantine/segment-quarantine.test.ts
+++ b/test/quarantine/segment-quarantine.test.ts
@@ -31,7 +31,7 @@
   }
 
   admits (gateway: number, prompt: calls.Prompt): boolean {
-    return this.members[gateway]!.retryAfterMs(prompt, new Set()) === undefined
+    return this.members[gateway]!.admit(prompt, new Set()) === undefined
   }
 
   /** All gateways tell all others what has changed, twice. */
@@ -148,10 +148,10 @@
     }
     await region.virtual.advance(FIRST_TRIAL_MS)
     const trials = new Set<string>()
-    const gateway = region.members.find((member) => member.retryAfterMs(promptOf('bad'), trials) === undefined)!
-    chai.expect(gateway.retryAfterMs(promptOf('bad'), trials)).to.equal(undefined)
+    const gateway = region.members.find((member) => member.admit(promptOf('bad'), trials) === undefined)!
+    chai.expect(gateway.admit(promptOf('bad'), trials)).to.equal(undefined)
     trials.clear()
-    chai.expect(gateway.retryAfterMs(promptOf('bad'), trials)).to.be.greaterThan(0)
+    chai.expect(gateway.admit(promptOf('bad'), trials)).to.be.greaterThan(0)
   })
 
   it('tells a gateway that has just started all quarantined segments, in messages of bounded size', async () => {
