Show that a quarantined segment reaches all gateways over relays

A region of 30 gateways in virtual time: three members see one crash each; all others, and one that starts later, hold calls with the segment back. Passes on the code as it is.

--- a/test/exchange/exchange.test.ts
+++ b/test/exchange/exchange.test.ts
@@ -214,6 +214,19 @@
     for (const gateway of gateways) chai.expect(gateway.fleet.cacheUpdates.changesSince({ gateway: 'x', incarnation: 'x', kind: 'member' }, 0)!.next, gateway.name).to.equal(2)
   })
 
+  it('tells all gateways of a segment under which engines ended at three members, also one that starts later', async () => {
+    const { region, gateways } = await regionOf(30)
+    const prompt = { promptTokens: 9, outputTokens: 1, segments: [{ id: 'bad', tokens: 5 }, { id: 'own', tokens: 4 }] }
+    const members = gateways.filter((gateway) => !gateway.exchange.isRelay)
+    for (const member of [members[0]!, members[7]!, members[14]!]) {
+      member.quarantine.noteLost({ prompt, target: build.aTarget(`e-${member.name}`), sentAt: region.virtual.now(), firstEventAt: undefined })
+      await region.virtual.advance(500)
+    }
+    const late = region.start('late')
+    await region.virtual.advance(1_500)
+    for (const gateway of [...gateways, late]) chai.expect(gateway.quarantine.admit(prompt, new Set()), gateway.name).to.be.greaterThan(0)
+  })
+
   it('knows the usage of a killed member, and of a killed relay by what it had stored', async () => {
     const { region, gateways } = await regionOf(30)
     const member = gateways.find((gateway) => !gateway.exchange.isRelay)!
--- a/test/support/gateway-region.ts
+++ b/test/support/gateway-region.ts
@@ -8,6 +8,7 @@
 import * as log from '../../src/log/index.js'
 import * as metrics from '../../src/metrics/index.js'
 import type * as peer from '../../src/peer/index.js'
+import * as quarantine from '../../src/quarantine/index.js'
 import * as serving from '../../src/serving/index.js'
 import * as standin from '../../src/standin/index.js'
 import * as time from '../../src/time/index.js'
@@ -42,6 +43,7 @@
   readonly directory: directory.Directory
   readonly feed: serving.ConfigFeed
   readonly fleetFeed: fleet.FleetFeed
+  readonly quarantine: quarantine.SegmentQuarantine
   readonly ledger: duties.UsageLedger
   readonly collector: duties.UsageCollector
   /** Whether the process runs, and whether it reaches the store. */
@@ -64,7 +66,8 @@
     this.fleetFeed = new fleet.FleetFeed({ env, elapsed, store, prefix: TARGETS_PREFIX, leavePropagationMs: LEAVE_BOUND_MS, shortestExpiryMs: TARGET_EXPIRY_MS, isReader: isRelay, decode: (object) => JSON.parse(object.value) as serving.TargetRecord, fleet: this.fleet, log: silent })
     this.ledger = new duties.UsageLedger({ env, store, name: `${name}.${incarnation}`, windowMs: WINDOW_MS, isRelay, log: silent })
     this.collector = new duties.UsageCollector({ peers, ledger: this.ledger, relayAddresses: () => this.exchange.fellowAddresses() })
-    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.ledger]
+    this.quarantine = new quarantine.SegmentQuarantine({ clock: virtual, selfName: name, gateways: () => this.directory.gatewayNames(), log: silent })
+    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.ledger, this.quarantine]
     this.exchange = new exchange.Exchange({ env, elapsed, peers, self, roster: this.roster, topics, ready: () => this.ready, log: silent })
     this.directory = new directory.Directory({ env, store, self, roster: this.roster, isRelay, ready: () => this.ready, log: silent })
     for (const task of [this.feed, this.fleetFeed, this.directory, this.exchange, this.ledger]) task.start()
