--- a/src/fleet/fleet-feed.ts
+++ b/src/fleet/fleet-feed.ts
@@ -70,6 +70,8 @@
   private failing = false
   /** Failed reads that were started after the list in use was confirmed. */
   private failedReads = 0
+  /** When targets whose records expired during the last outage have registered again, in ms on the monotonic clock. */
+  private reregisteredAt = -Infinity
   private lastRead: Disposable | undefined
   private readsStarted = 0
   private lastAppliedRead = 0
@@ -125,8 +127,8 @@
     if (isIncremental) this.list.update(records, removed)
     else this.list.replace(this.relayList.records())
     this.followsRelay = true
-    const keepUntil = this.confirm(confirmedAt)
-    if (!isIncremental || records.length + removed.length > 0 || this.deps.env.clock.now() - this.appliedAt >= REAPPLY_INTERVAL_MS) this.applyToFleet(keepUntil)
+    this.confirm(confirmedAt)
+    if (!isIncremental || records.length + removed.length > 0 || this.deps.env.clock.now() - this.appliedAt >= REAPPLY_INTERVAL_MS) this.applyToFleet()
     return true
   }
 
@@ -151,22 +153,21 @@
     this.lastAppliedRead = readNumber
     this.list.replace(objects.flatMap((object) => this.deps.decode(object) ?? []))
     this.followsRelay = false
-    this.applyToFleet(this.confirm(startedAt))
+    this.confirm(startedAt)
+    this.applyToFleet()
   }
 
-  /**
-   * Notes that the list was current at `confirmedAt`. Returns until when targets that are missing from it are kept, in ms on
-   * the monotonic clock; undefined when no record can have expired since the list before.
-   */
-  private confirm (confirmedAt: number): number | undefined {
+  // Notes that the list was current at `confirmedAt`. After an outage a record may expire shortly after it was listed again,
+  // since its target has not yet written it.
+  private confirm (confirmedAt: number): void {
     const wasAway = this.failedReads >= OUTAGE_FAILED_READS && confirmedAt - this.freshness.confirmedAt >= this.deps.shortestExpiryMs
     if (confirmedAt > this.freshness.confirmedAt) this.failedReads = 0
     this.freshness.confirm(confirmedAt)
-    if (!wasAway) return undefined
+    if (!wasAway) return
     const remainingMs = REREGISTRATION_MS - (this.deps.elapsed.now() - confirmedAt)
     // A member gets the list that its relay reads then.
     if (this.deps.isReader()) this.scheduleLastRead(remainingMs - LAST_READ_MARGIN_MS)
-    return this.deps.env.clock.now() + remainingMs
+    this.reregisteredAt = this.deps.env.clock.now() + remainingMs
   }
 
   private scheduleLastRead (delayMs: number): void {
@@ -176,9 +177,9 @@
     })
   }
 
-  private applyToFleet (keepUntil: number | undefined): void {
+  private applyToFleet (): void {
     this.appliedAt = this.deps.env.clock.now()
-    this.deps.fleet.apply(this.list.records(), keepUntil)
+    this.deps.fleet.apply(this.list.records(), this.appliedAt < this.reregisteredAt ? this.reregisteredAt : undefined)
     this.loaded = true
     if (this.failing) this.deps.log.info({ dependency: 'target_list', targets: this.list.size }, 'dependency_regained')
     this.failing = false
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -61,9 +61,8 @@
   }
 
   /**
-   * Applies a complete list: adds, updates and removes targets. `keepUntil` is set for the first list after a time in which
-   * records may have expired though their targets still run: targets that are missing from it are kept until then, in ms on
-   * the monotonic clock. One that was in that list and is missing from a later one has left.
+   * Applies a complete list: adds, updates and removes targets. `keepUntil` is set after a time in which records may have
+   * expired though their targets still run: targets that are missing are kept until then, in ms on the monotonic clock.
    */
   apply (records: readonly serving.TargetRecord[], keepUntil?: number): void {
     const listed = new Set<string>()
--- a/test/fleet/fleet-feed.test.ts
+++ b/test/fleet/fleet-feed.test.ts
@@ -134,6 +134,22 @@
     }
   })
 
+  it('keeps a target whose record expires shortly after the return of the store, when it was listed already', async () => {
+    for (let phaseMs = 0; phaseMs < 800; phaseMs += 50) {
+      using feed = new FeedUnderTest(['a', 'b'])
+      await feed.virtual.advance(1_000)
+      feed.cut = true
+      await feed.virtual.advance(4_000 + phaseMs)
+      feed.cut = false
+      const healedAt = feed.virtual.now()
+      await feed.virtual.advance(700)
+      feed.remove('a')
+      chai.expect(await feed.violations(healedAt + RETURN_MS - 50, () => feed.accepts('a')), `phase ${phaseMs}`).to.deep.equal([])
+      feed.put('a')
+      chai.expect(await feed.violations(healedAt + 2 * CONTACT_MS, () => feed.accepts('a')), `phase ${phaseMs}, returned`).to.deep.equal([])
+    }
+  })
+
   describe('of a member', () => {
     const relay: exchange.Link = { gateway: 'r', incarnation: '1', kind: 'relay' }
 
