Log why a stream broke off and which responses stayed unfinished

stream_broken_off names the reason, the last failed attempt, the silence before it and the versions of the configuration at the start and at the end of the call; response_unfinished tells which end closed the connection; stop_ended tells what the end of the process cuts off; attempt_failed tells how long the response and the target had been silent. Two counters go with them. No decision changes.

Test: test/gateway/end-to-end.test.ts, log lines of a stream that broke off.

--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -36,6 +36,8 @@
   readonly route: serving.ServingRoute
   /** Service that was picked for this call from those of the route. */
   readonly service: serving.ServingService
+  /** Version of the configuration under which the call was admitted. */
+  readonly configVersion: number
   /** Name of the client account; absent on open routes. */
   readonly account?: string | undefined
   /** 0 is the most urgent. */
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -17,7 +17,14 @@
   | { readonly kind: 'answered', readonly head: calls.ResponseHead, readonly body: Uint8Array }
   | { readonly kind: 'streamed' }
   | { readonly kind: 'not_run', readonly written: boolean, readonly message: string }
-  | { readonly kind: 'failed', readonly message: string, readonly cause: FailureCause }
+  | {
+    readonly kind: 'failed'
+    readonly message: string
+    readonly cause: FailureCause
+    /** Time since the last byte of this attempt's response, or since its send, and since the last byte of the target over all its calls; ms. */
+    readonly silentMs: number
+    readonly targetSilentMs: number
+  }
   | { readonly kind: 'stopped' }
 
 /** Dependencies of an attempt. */
@@ -118,8 +125,8 @@
     this.responseHead = head
     if (head.load !== undefined) state.applyReportedLoad(head.load, this.lastByteAt)
     if (head.wrongTarget) this.abortWith({ kind: 'not_run', written: true, message: 'wrong_target' })
-    else if (head.id !== call.id && !(head.id === undefined && status >= 400)) this.abortWith({ kind: 'failed', message: 'response does not carry the id of this request', cause: 'malformed' })
-    else if (head.encoded) this.abortWith({ kind: 'failed', message: 'response has a content encoding', cause: 'malformed' })
+    else if (head.id !== call.id && !(head.id === undefined && status >= 400)) this.abortWith(this.failure('response does not carry the id of this request', 'malformed'))
+    else if (head.encoded) this.abortWith(this.failure('response has a content encoding', 'malformed'))
     else this.streaming = stream !== undefined && status === 200
   }
 
@@ -137,14 +144,14 @@
   }
 
   onError (err: upstream.SendError): void {
-    if (err.written) this.settle({ kind: 'failed', message: err.message, cause: 'disconnected' })
+    if (err.written) this.settle(this.failure(err.message, 'disconnected'))
     else this.settle({ kind: 'not_run', written: false, message: err.message })
   }
 
   private relay (chunk: Uint8Array): void {
     const { reply, progress } = this.spec.stream!
     const batch = this.splitter.push(chunk, progress.lastId)
-    if (this.splitter.pendingBytes > eventSplitter.MAX_EVENT_BYTES) this.abortWith({ kind: 'failed', message: 'event exceeds the size limit', cause: 'malformed' })
+    if (this.splitter.pendingBytes > eventSplitter.MAX_EVENT_BYTES) this.abortWith(this.failure('event exceeds the size limit', 'malformed'))
     if (batch === undefined) return
     this.noteFirstEvent()
     if (!reply.started) reply.start(this.responseHead!)
@@ -157,13 +164,13 @@
   private bufferChunk (chunk: Uint8Array): void {
     this.chunks.push(chunk)
     this.bufferedBytes += chunk.length
-    if (this.bufferedBytes > MAX_BUFFERED_RESPONSE_BYTES) this.abortWith({ kind: 'failed', message: 'response exceeds the size limit', cause: 'malformed' })
+    if (this.bufferedBytes > MAX_BUFFERED_RESPONSE_BYTES) this.abortWith(this.failure('response exceeds the size limit', 'malformed'))
   }
 
   private endStream (): void {
     const { reply } = this.spec.stream!
     if (this.splitter.pendingBytes > 0 || !reply.started) {
-      this.settle({ kind: 'failed', message: 'stream ended before its first event or within an event', cause: 'disconnected' })
+      this.settle(this.failure('stream ended before its first event or within an event', 'disconnected'))
       return
     }
     this.settle({ kind: 'streamed' })
@@ -210,8 +217,14 @@
       this.stallTimer = this.deps.env.timers.after(stallAt - now + 1, () => this.watchStall())
       return
     }
-    if (now >= targetStallAt) this.abortWith({ kind: 'failed', message: 'target stalled', cause: 'target_stalled' })
-    else this.abortWith({ kind: 'failed', message: 'response stalled', cause: 'response_stalled' })
+    if (now >= targetStallAt) this.abortWith(this.failure('target stalled', 'target_stalled'))
+    else this.abortWith(this.failure('response stalled', 'response_stalled'))
+  }
+
+  private failure (message: string, cause: FailureCause): AttemptResult {
+    const now = this.deps.env.clock.now()
+    const targetByteAt = Math.max(this.sentAt, this.spec.state.lastByteAt)
+    return { kind: 'failed', message, cause, silentMs: Math.round(now - this.lastByteAt), targetSilentMs: Math.round(now - targetByteAt) }
   }
 
   private abortWith (result: AttemptResult): void {
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -36,6 +36,8 @@
   readonly quarantine: Pick<quarantine.SegmentQuarantine, 'admit' | 'noteLost' | 'noteAnswered'>
   /** Age of the list of targets, in ms. */
   readonly listAgeMs: () => number
+  /** Version of the configuration in force; undefined before the first. */
+  readonly configVersion: () => number | undefined
   readonly log: log.Logger
   readonly metrics: metrics.Metrics
   /** Closes the idle connections to an address. */
@@ -289,7 +291,7 @@
     const message = result.kind === 'answered' ? `status ${result.head.status}` : result.kind === 'streamed' ? '' : result.kind === 'stopped' ? this.endedBy ?? 'stopped' : result.message
     this.lastMessage = message
     this.deps.metrics.count('godwitpoint_attempt_failures_total', `kind="${result.kind}",phase="${phase}"`)
-    this.deps.log.info({ id: this.call.id, target: state.record.id, phase, kind: result.kind, reason: message, resumed_after: this.progress.lastId, segments: result.kind === 'failed' ? sharedSegmentIds(this.call) : undefined }, 'attempt_failed')
+    this.deps.log.info({ id: this.call.id, target: state.record.id, phase, kind: result.kind, reason: message, silent_ms: result.kind === 'failed' ? result.silentMs : undefined, target_silent_ms: result.kind === 'failed' ? result.targetSilentMs : undefined, resumed_after: this.progress.lastId, segments: result.kind === 'failed' ? sharedSegmentIds(this.call) : undefined }, 'attempt_failed')
   }
 
   private releaseKvHandle (kvSource: calls.KvSource): void {
@@ -311,6 +313,7 @@
   /** Ends the call without success: aborts a started stream, delivers the last error response, or refuses. */
   private giveUp (stopReason: errors.RefusalReason | errors.Refusal, lateMs = 0): errors.Refusal | undefined {
     if (this.reply.started) {
+      this.logBrokenOff(stopReason instanceof errors.Refusal ? stopReason.reason : stopReason)
       this.reply.abort()
       return undefined
     }
@@ -330,6 +333,24 @@
     })
   }
 
+  private logBrokenOff (reason: errors.RefusalReason): void {
+    const { call, progress } = this
+    const now = this.now()
+    this.deps.metrics.count('godwitpoint_streams_broken_off_total', `reason="${reason}"`)
+    this.deps.log.warn({
+      id: call.id,
+      route: call.route.name,
+      reason,
+      detail: this.lastMessage,
+      targets_tried: this.triedTargets.size,
+      relayed_to: progress.lastId,
+      silent_ms: Math.round(now - (progress.lastRelayedAt ?? call.arrivedAt)),
+      left_ms: Math.round(call.deadlineAt - now),
+      config_version: call.configVersion,
+      current_config_version: this.deps.configVersion()
+    }, 'stream_broken_off')
+  }
+
   private now (): number {
     return this.deps.env.clock.now()
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -73,12 +73,13 @@
     if (route === undefined) return refusal('unknown_route', 'parse')
     const service = table.config.services.get(serving.pickService(route, this.deps.env.random.next()))
     if (service === undefined) return refusal('no_target', 'parse', RETRY_AFTER_MS)
-    if (route.open || !table.requiresKeys) return { route, service, account: undefined, key: undefined }
+    const configVersion = table.config.version
+    if (route.open || !table.requiresKeys) return { route, service, configVersion, account: undefined, key: undefined }
     if (req.key === undefined) return refusal('key_missing', 'authenticate')
     const account = table.findAccount(req.key)
     if (account === undefined) return refusal('key_invalid', 'authenticate')
     const keyRefusal = this.checkKey(req.key, account.name)
-    return keyRefusal ?? { route, service, account, key: req.key }
+    return keyRefusal ?? { route, service, configVersion, account, key: req.key }
   }
 
   private checkKey (key: string, account: string): errors.Refusal | undefined {
@@ -89,7 +90,7 @@
   }
 
   private createCall (req: types.CallerReq, body: Uint8Array, authorized: AuthorizedRequest, arrivedAt: number): calls.Call {
-    const { route, service, account, key } = authorized
+    const { route, service, configVersion, account, key } = authorized
     const waitMs = Math.min(req.waitMs ?? DEFAULT_CALLER_WAIT_MS, route.timeoutMs)
     return {
       id: req.id,
@@ -99,6 +100,7 @@
       body,
       route,
       service,
+      configVersion,
       account: account?.name,
       priority: account?.priority ?? route.priority,
       arrivedAt,
@@ -113,6 +115,7 @@
 interface AuthorizedRequest {
   readonly route: serving.ServingRoute
   readonly service: serving.ServingService
+  readonly configVersion: number
   readonly account: serving.ServingAccount | undefined
   readonly key: string | undefined
 }
--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -49,6 +49,7 @@
   private closing = false
   private active = 0
   private activeBodyBytes = 0
+  private unfinished = 0
 
   constructor (private readonly deps: HttpFrontendDeps) {
     this.server = http.createServer({
@@ -70,6 +71,11 @@
     return this.active
   }
 
+  /** Number of responses that were not written completely yet. */
+  get unfinishedResponses (): number {
+    return this.unfinished
+  }
+
   /** Applies the timeouts of a new configuration. */
   applyLimits (limits: serving.CallerLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs
@@ -103,7 +109,13 @@
   private async serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const callerLeft = new AbortController()
     let heldBytes = 0
-    res.on('close', () => { if (!res.writableFinished) callerLeft.abort() })
+    this.unfinished++
+    res.on('close', () => {
+      this.unfinished--
+      if (res.writableFinished) return
+      this.noteUnfinished(req, res)
+      callerLeft.abort()
+    })
     this.active++
     try {
       const overloaded = this.active > MAX_ACTIVE_REQUESTS || this.activeBodyBytes > MAX_ACTIVE_BODY_BYTES
@@ -118,6 +130,12 @@
     }
   }
 
+  private noteUnfinished (req: http.IncomingMessage, res: http.ServerResponse): void {
+    const closedBy = closerOf(req, res)
+    this.deps.metrics.count('godwitpoint_unfinished_responses_total', `closed_by="${closedBy}"`)
+    this.deps.log.info({ id: req.headers['request-id'], closed_by: closedBy, head_sent: res.headersSent, ended: res.writableEnded, request_complete: req.complete, stopping: this.closing }, 'response_unfinished')
+  }
+
   private async handleRequest (req: http.IncomingMessage, res: http.ServerResponse, body: Uint8Array, signal: AbortSignal): Promise<void> {
     const reply = new httpReply.HttpReply(res, () => this.closing)
     const refusal = await this.deps.handler.handle(this.deps.protocol.decode(req), body, reply, signal)
@@ -187,6 +205,11 @@
   return refusal.reason === 'deadline_exceeded' ? TIMEOUT_STATUS : MAYBE_EXECUTED_STATUS
 }
 
+/** Which end closed the connection of a response that was not written completely. */
+function closerOf (req: http.IncomingMessage, res: http.ServerResponse): 'caller' | 'gateway' {
+  return req.socket.readableEnded || req.socket.errored !== null || res.errored !== null ? 'caller' : 'gateway'
+}
+
 function tooLarge (): errors.Refusal {
   return new errors.Refusal('request_too_large', { step: 'parse', ran: 'no' })
 }
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -156,7 +156,7 @@
 
   /** Stops: releases the lease, serves new calls until callers have other addresses, and waits for the last calls. */
   async stop (): Promise<void> {
-    const { env, settings } = this.deps
+    const { env, settings, log } = this.deps
     if (this.stopStartedAt !== undefined) return
     this.stopStartedAt = env.clock.now()
     const exitAt = this.stopStartedAt + settings.bounds.graceMs - EXIT_MARGIN_MS
@@ -168,6 +168,7 @@
     this.frontend.stopListening()
     while (this.frontend.activeRequests > 0 && env.clock.now() < exitAt - RELEASE_TIMEOUT_MS) await time.delay(env.timers, STOP_CHECK_MS)
     await time.withTimeout(env.timers, RELEASE_TIMEOUT_MS, this.usageLedger[Symbol.asyncDispose](), () => undefined)
+    log.info({ active_calls: this.frontend.activeRequests, unfinished_responses: this.frontend.unfinishedResponses, ms: Math.round(env.clock.now() - this.stopStartedAt) }, 'stop_ended')
   }
 
   /** Closes all sockets and ends all tasks at once, without waiting for calls. */
@@ -222,6 +223,7 @@
       fleet: this.fleet,
       quarantine: this.quarantine,
       listAgeMs: () => this.fleetFeed.listAgeMs,
+      configVersion: () => this.feed.current()?.config.version,
       log,
       metrics,
       dropIdleConnections: (address) => this.pool.dropIdleConnections(address)
--- a/test/forward/forwarder.test.ts
+++ b/test/forward/forwarder.test.ts
@@ -33,6 +33,7 @@
     fleet,
     quarantine: new quarantine.SegmentQuarantine({ clock: virtual, selfName: 'g', gateways: () => ['g'], log: log.SILENT_LOGGER }),
     listAgeMs: () => 0,
+    configVersion: () => 1,
     log: log.SILENT_LOGGER,
     metrics: counters,
     dropIdleConnections: () => {}
--- a/test/gateway/end-to-end.test.ts
+++ b/test/gateway/end-to-end.test.ts
@@ -108,6 +108,22 @@
     chai.expect(text).to.match(/event=call_refused .*status=502 .*ran=maybe/)
   })
 
+  it('show a stream that broke off after its first event, and the configuration under which it was admitted', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', (req, res) => {
+      req.resume()
+      res.writeHead(200, { 'request-id': req.headers['request-id'] ?? '', 'response-stamp': 's1', 'content-type': 'text/event-stream' })
+      res.write('id: 1\ndata: a\n\n', () => setTimeout(() => req.socket.destroy(), 30))
+    })
+    await gw.start({ ...support.CONFIG, routes: [{ ...support.CONFIG.routes[0], kind: 'streaming', timeoutMs: 2_000 }] })
+    chai.expect(await gw.request('r4').then(() => 'complete', () => 'broken off')).to.equal('broken off')
+    const text = gw.linesOf('r4').join('\n')
+    chai.expect(text).to.match(/event=stream_broken_off .*reason=no_target .*targets_tried=1 relayed_to=1 silent_ms=\d+ left_ms=\d+ config_version=1 current_config_version=1/)
+    // The caller may notice the close before the gateway does.
+    await time.delay(new time.SystemTimers(), 50)
+    chai.expect(gw.linesOf('r4').join('\n')).to.match(/event=response_unfinished .*closed_by=gateway head_sent=true ended=false/)
+  })
+
   it('show a request that was refused because the copy of the keys was stale', async () => {
     await using gw = new support.GatewayProcess()
     await gw.addServer('i-1', (req, res) => respond(req, res, 200))
--- a/test/replay/crashing-segment.test.ts
+++ b/test/replay/crashing-segment.test.ts
@@ -157,6 +157,7 @@
       fleet,
       quarantine: this.withQuarantine ? own : none,
       listAgeMs: () => 0,
+      configVersion: () => 1,
       log: log.SILENT_LOGGER,
       metrics: this.counters,
       dropIdleConnections: () => {}
--- a/test/replay/swing.test.ts
+++ b/test/replay/swing.test.ts
@@ -84,6 +84,7 @@
       fleet,
       quarantine: new quarantine.SegmentQuarantine({ clock: this.virtual, selfName: 'g', gateways: () => ['g'], log: log.SILENT_LOGGER }),
       listAgeMs: () => 0,
+      configVersion: () => 1,
       log: log.SILENT_LOGGER,
       metrics: new metrics.Metrics(),
       dropIdleConnections: () => {}
--- a/test/support/gateway-builders.ts
+++ b/test/support/gateway-builders.ts
@@ -53,6 +53,7 @@
     body: new Uint8Array(0),
     route: aRoute(),
     service: aService(),
+    configVersion: 1,
     account: 'acc',
     priority: 2,
     arrivedAt: 0,
