Tell a close by the gateway from one by the caller by the socket alone

An OutgoingMessage has no errored value before an error, so each unfinished response was logged as closed by the caller.

--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -131,7 +131,7 @@
   }
 
   private noteUnfinished (req: http.IncomingMessage, res: http.ServerResponse): void {
-    const closedBy = closerOf(req, res)
+    const closedBy = closerOf(req)
     this.deps.metrics.count('godwitpoint_unfinished_responses_total', `closed_by="${closedBy}"`)
     this.deps.log.info({ id: req.headers['request-id'], closed_by: closedBy, head_sent: res.headersSent, ended: res.writableEnded, request_complete: req.complete, stopping: this.closing }, 'response_unfinished')
   }
@@ -206,8 +206,8 @@
 }
 
 /** Which end closed the connection of a response that was not written completely. */
-function closerOf (req: http.IncomingMessage, res: http.ServerResponse): 'caller' | 'gateway' {
-  return req.socket.readableEnded || req.socket.errored !== null || res.errored !== null ? 'caller' : 'gateway'
+function closerOf (req: http.IncomingMessage): 'caller' | 'gateway' {
+  return req.socket.readableEnded || req.socket.errored !== null ? 'caller' : 'gateway'
 }
 
 function tooLarge (): errors.Refusal {
