--- /dev/null
+++ b/test/forward/begun-stream.test.ts
@@ -0,0 +1,100 @@
+import * as chai from 'chai'
+import type * as calls from '../../src/call/index.js'
+import * as errors from '../../src/errors/index.js'
+import * as build from '../support/gateway-builders.js'
+import * as fixtures from '../support/forwarder-fixture.js'
+
+const { STREAM, begin, respond, setUp } = fixtures
+
+/** Resets a stream after its first event, and completes it with a second one if it is resumed. */
+async function breakAndResume (fixture: ReturnType<typeof setUp>): Promise<void> {
+  fixture.upstream.sends[0]!.handler.onError({ written: true, message: 'reset' })
+  await fixture.virtual.advance(1)
+  if (fixture.upstream.sends.length > 1) respond(fixture.upstream.sends[1]!, 200, 'id: 2\ndata: b\n\n')
+  await fixture.virtual.advance(1)
+}
+
+/** Quarantines a segment: three targets end under calls with it. */
+async function quarantineSegment ({ segments, virtual }: ReturnType<typeof setUp>, id: string): Promise<void> {
+  for (const target of ['x', 'y', 'z']) {
+    segments.noteLost({ prompt: aPrompt(id), target: build.aTarget(target), sentAt: virtual.now(), firstEventAt: undefined })
+    await virtual.advance(1)
+  }
+}
+
+function aPrompt (segment: string): calls.Prompt {
+  return { promptTokens: 9, outputTokens: 1, segments: [{ id: segment, tokens: 5 }, { id: 'own', tokens: 4 }] }
+}
+
+describe('a stream that has begun and whose target broke off', () => {
+  for (const reason of ['key_withdrawn', 'key_state_unknown'] as const) {
+    it(`resumes a stream that had begun before a change of the configuration (${reason})`, async () => {
+      const fixture = setUp()
+      const refusal = new errors.Refusal(reason, { step: 'authenticate', ran: 'no' })
+      let changed = false
+      fixture.start(build.aCall({ route: STREAM, checkAuthorization: () => changed ? refusal : undefined }))
+      begin(fixture.upstream.sends[0]!)
+      changed = true
+      await breakAndResume(fixture)
+      chai.expect([fixture.reply.state, fixture.reply.text]).to.deep.equal(['ended', 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'])
+    })
+
+    it(`sends a stream that has not begun to no further target after such a change (${reason})`, async () => {
+      const fixture = setUp()
+      const refusal = new errors.Refusal(reason, { step: 'authenticate', ran: 'no' })
+      let changed = false
+      fixture.start(build.aCall({ route: STREAM, resumeAfter: '0', checkAuthorization: () => changed ? refusal : undefined }))
+      fixture.upstream.sends[0]!.handler.onHead(200, { 'request-id': 'c1' })
+      changed = true
+      await breakAndResume(fixture)
+      const outcome = fixture.outcome() as errors.Refusal
+      chai.expect([fixture.upstream.sends.length, outcome.reason, outcome.detail.ran]).to.deep.equal([1, reason, 'maybe'])
+    })
+  }
+
+  it('resumes a stream that had begun before one of its segments was quarantined', async () => {
+    const fixture = setUp()
+    fixture.start(build.aCall({ route: STREAM, prompt: aPrompt('bad') }))
+    begin(fixture.upstream.sends[0]!)
+    await quarantineSegment(fixture, 'bad')
+    await breakAndResume(fixture)
+    chai.expect([fixture.reply.state, fixture.reply.text]).to.deep.equal(['ended', 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'])
+  })
+
+  it('sends a stream that has not begun to no further target after one of its segments was quarantined', async () => {
+    const fixture = setUp()
+    fixture.start(build.aCall({ route: STREAM, prompt: aPrompt('bad') }))
+    await quarantineSegment(fixture, 'bad')
+    await breakAndResume(fixture)
+    const outcome = fixture.outcome() as errors.Refusal
+    chai.expect([fixture.upstream.sends.length, outcome.reason, outcome.detail.ran]).to.deep.equal([1, 'segment_quarantined', 'maybe'])
+  })
+
+  it('does not use up the trial of a quarantined segment for a stream that had begun', async () => {
+    const fixture = setUp()
+    fixture.start(build.aCall({ route: STREAM, prompt: aPrompt('bad'), deadlineAt: 60_000 }))
+    begin(fixture.upstream.sends[0]!)
+    await quarantineSegment(fixture, 'bad')
+    for (let id = 2; id < 70; id++) {
+      await fixture.virtual.advance(500)
+      fixture.upstream.sends[0]!.handler.onData(Buffer.from(`id: ${id}\ndata: a\n\n`))
+    }
+    fixture.upstream.sends[0]!.handler.onError({ written: true, message: 'reset' })
+    await fixture.virtual.advance(1)
+    chai.expect(fixture.upstream.sends).to.have.length(2)
+    const trials = new Set<string>()
+    chai.expect([fixture.segments.admit(aPrompt('bad'), trials), ...trials]).to.deep.equal([undefined, 'bad'])
+  })
+
+  it('resumes a stream that had begun as the trial of its segment, and clears the segment when it is complete', async () => {
+    const fixture = setUp()
+    await quarantineSegment(fixture, 'bad')
+    await fixture.virtual.advance(31_000)
+    fixture.start(build.aCall({ route: STREAM, prompt: aPrompt('bad'), arrivedAt: 31_003, deadlineAt: 36_000 }))
+    begin(fixture.upstream.sends[0]!)
+    await fixture.virtual.advance(200)
+    await breakAndResume(fixture)
+    chai.expect(fixture.reply.state).to.equal('ended')
+    chai.expect(fixture.segments.admit(aPrompt('bad'), new Set())).to.equal(undefined)
+  })
+})
