Keep error responses out of a stream that has begun

What callers saw: a stream whose target broke off, and whose next target answered with an error, ended at once: after a status below 500 although a third target could have resumed it, after another one when no further target might be tried. The log had an internal error, request_failed "Cannot write headers after they are sent to the client", instead of the reason.

Cause: handleResponse relayed the error response by Reply.send without regard to the head that was sent. HttpReply threw, and HttpFrontend closed the connection.

Ruled out: a mixed response. At the socket neither head nor body of the error arrived before this change either, and the stream did not look complete. A response with status 200 that has another id, none, or a content encoding was not joined before either; tests now guard this.

Change: a response that is no stream counts as a failed attempt once the stream has begun, whatever its status, as the stream shows that the request is sound. Another target is tried within maxTargets and the retry budget, or else the stream is broken off and stream_broken_off has the status as its detail. A Reply throws when a second head is sent, also after the connection was closed and in the test double, so that tests see the fault.

Evidence: test/forward/begun-stream.test.ts (404, 500, 503, 204, 206; maxTargets and the budget used up). Before, 11 of its tests failed, as "expected [ 2, 200, 'open', ... ] to deeply equal [ 2, 200, 'aborted', ... ]", with no third send for a status below 500, and not counted as failed attempts for 500 and 503. test/gateway/end-to-end.test.ts, at the socket: before, "expected '...' not to match /event=request_failed/" and "expected 2 to equal 3" attempts. test/gateway/http-reply.test.ts: before, no exception after the close. All pass now. The test of the error response of an earlier target passed before and fails when giveUp looks at lastResponse before the stream.

--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -126,9 +126,9 @@
 export interface Reply {
   /** Whether the head was sent. */
   readonly started: boolean
-  /** Sends a complete response. */
+  /** Sends a complete response; throws when a head was sent. */
   send (head: ResponseHead, body: Uint8Array): void
-  /** Sends the head of a streamed response. */
+  /** Sends the head of a streamed response; throws when a head was sent. */
   start (head: ResponseHead): void
   /** Sends a chunk of a stream; false while the caller reads too slowly and output is buffered. */
   write (chunk: Uint8Array): boolean
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -203,6 +203,12 @@
   }
 
   private handleResponse (result: Extract<attempt.AttemptResult, { kind: 'answered' }>, target: fleet.TargetState): boolean {
+    // A stream that has begun takes only events; it shows that the request is sound, so another target may be able to resume it.
+    if (this.reply.started) {
+      this.triedTargets.add(target.record.id)
+      this.noteFailure(result, target, 'run')
+      return false
+    }
     this.lastResponse = { head: result.head, body: result.body }
     const failed = result.head.status >= 500
     if (failed && this.call.route.idempotency !== 'non_idempotent' && this.countedAttempts < this.call.route.maxTargets && this.budget.remaining >= 1) {
--- a/src/gateway/http-reply.ts
+++ b/src/gateway/http-reply.ts
@@ -37,6 +37,7 @@
   }
 
   private writeHead (status: number, headers: readonly string[]): void {
+    if (this.started) throw new Error('the head of this response was already sent')
     if (this.res.destroyed) return
     this.res.writeHead(status, this.closing() ? [...headers, 'connection', 'close'] : [...headers])
   }
--- a/test/forward/begun-stream.test.ts
+++ b/test/forward/begun-stream.test.ts
@@ -14,6 +14,16 @@
   await fixture.virtual.advance(1)
 }
 
+/** Resets a stream after its first event, and answers the attempt that resumes it. */
+async function breakOffAndAnswer (fixture: ReturnType<typeof setUp>, route: calls.Call['route'], status: number, body: string, headers: Record<string, string> = {}): Promise<void> {
+  fixture.start(build.aCall({ route }))
+  begin(fixture.upstream.sends[0]!)
+  fixture.upstream.sends[0]!.handler.onError({ written: true, message: 'reset' })
+  await fixture.virtual.advance(1)
+  respond(fixture.upstream.sends[1]!, status, body, headers)
+  await fixture.virtual.advance(1)
+}
+
 /** Quarantines a segment: three targets end under calls with it. */
 async function quarantineSegment ({ segments, virtual }: ReturnType<typeof setUp>, id: string): Promise<void> {
   for (const target of ['x', 'y', 'z']) {
@@ -97,4 +107,51 @@
     chai.expect(fixture.reply.state).to.equal('ended')
     chai.expect(fixture.segments.admit(aPrompt('bad'), new Set())).to.equal(undefined)
   })
+
+  for (const [status, body] of [[404, 'boom'], [500, 'boom'], [503, ''], [204, ''], [206, 'id: 2\ndata: x\n\n']] as const) {
+    it(`resumes a stream at a third target when the second one answered with status ${status}`, async () => {
+      const fixture = setUp()
+      await breakOffAndAnswer(fixture, { ...STREAM, maxTargets: 3 }, status, body)
+      chai.expect(fixture.upstream.sends[2]!.req.headers.join(' ')).to.contain('last-event-id 1')
+      respond(fixture.upstream.sends[2]!, 200, 'id: 2\ndata: b\n\n')
+      await fixture.virtual.advance(1)
+      chai.expect([fixture.reply.status, fixture.reply.state, fixture.reply.text]).to.deep.equal([200, 'ended', 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'])
+      chai.expect(fixture.counters.counter('godwitpoint_attempt_failures_total', 'kind="answered",phase="run"')).to.equal(1)
+    })
+
+    it(`breaks off a stream when the last target that may be tried answered with status ${status}`, async () => {
+      const fixture = setUp()
+      await breakOffAndAnswer(fixture, STREAM, status, body)
+      chai.expect([fixture.upstream.sends.length, fixture.reply.status, fixture.reply.state, fixture.reply.text]).to.deep.equal([2, 200, 'aborted', 'id: 1\ndata: a\n\n'])
+      chai.expect(fixture.lines.join('')).to.match(new RegExp(`event=stream_broken_off .*reason=target_failed detail="status ${status}" `))
+    })
+  }
+
+  it('breaks off a stream after an error response when no retry is left in the budget', async () => {
+    const fixture = setUp(5)
+    await breakOffAndAnswer(fixture, { ...STREAM, maxTargets: 9 }, 500, 'boom')
+    chai.expect([fixture.upstream.sends.length, fixture.reply.state, fixture.reply.text]).to.deep.equal([2, 'aborted', 'id: 1\ndata: a\n\n'])
+  })
+
+  it('does not deliver the error response of the first target into the stream of the second', async () => {
+    const fixture = setUp()
+    fixture.start(build.aCall({ route: STREAM }))
+    respond(fixture.upstream.sends[0]!, 500, 'boom')
+    await fixture.virtual.advance(1)
+    begin(fixture.upstream.sends[1]!)
+    fixture.upstream.sends[1]!.handler.onError({ written: true, message: 'reset' })
+    await fixture.virtual.advance(1)
+    chai.expect([fixture.upstream.sends.length, fixture.reply.state, fixture.reply.text]).to.deep.equal([2, 'aborted', 'id: 1\ndata: a\n\n'])
+  })
+
+  for (const [name, headers] of [['another id', { 'request-id': 'c2' }], ['no id', { 'request-id': undefined }], ['an encoded body', { 'content-encoding': 'gzip' }]] as const) {
+    it(`does not join a response with ${name} to a stream`, async () => {
+      const fixture = setUp()
+      await breakOffAndAnswer(fixture, { ...STREAM, maxTargets: 3 }, 200, 'id: 2\ndata: x\n\n', headers as Record<string, string>)
+      chai.expect([fixture.upstream.sends[1]!.aborted, fixture.reply.state, fixture.reply.text]).to.deep.equal([true, 'open', 'id: 1\ndata: a\n\n'])
+      respond(fixture.upstream.sends[2]!, 200, 'id: 2\ndata: b\n\n')
+      await fixture.virtual.advance(1)
+      chai.expect([fixture.reply.state, fixture.reply.text]).to.deep.equal(['ended', 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'])
+    })
+  }
 })
--- a/test/gateway/end-to-end.test.ts
+++ b/test/gateway/end-to-end.test.ts
@@ -1,5 +1,5 @@
 import type * as http from 'node:http'
-import type * as net from 'node:net'
+import * as net from 'node:net'
 import * as chai from 'chai'
 import * as time from '../../src/time/index.js'
 import * as support from '../support/gateway-process.js'
@@ -84,6 +84,65 @@
   })
 })
 
+describe('a stream that broke off and is resumed', () => {
+  const HEAD = { 'response-stamp': 's1', 'content-type': 'text/event-stream' }
+  const FIRST = 'id: 1\ndata: a\n\n'
+
+  /** What a caller gets over the socket when each attempt after the first, which breaks off, is answered by the next handler. */
+  async function resume (maxAttempts: number, answers: readonly http.RequestListener[]): Promise<{ text: string, log: string }> {
+    await using gw = new support.GatewayProcess()
+    let attempts = 0
+    const handler: http.RequestListener = (req, res) => {
+      const answer = answers[attempts++ - 1]
+      if (answer !== undefined) {
+        answer(req, res)
+        return
+      }
+      req.resume()
+      res.writeHead(200, { 'request-id': req.headers['request-id'] ?? '', ...HEAD })
+      res.write(FIRST, () => setTimeout(() => req.socket.destroy(), 30))
+    }
+    await gw.addServer('i-1', handler)
+    await gw.addServer('i-2', handler)
+    await gw.start({ ...support.CONFIG, routes: [{ ...support.CONFIG.routes[0], kind: 'streaming', resumable: true, timeoutMs: 2_000, maxAttempts }] })
+    const text = await readToEnd(gw)
+    // The caller may notice the close before the gateway does.
+    await time.delay(new time.SystemTimers(), 50)
+    chai.expect(attempts).to.equal(answers.length + 1)
+    return { text, log: gw.lines.join('\n') }
+  }
+
+  /** Everything that arrives at the socket of a caller until the connection ends. */
+  async function readToEnd (gw: support.GatewayProcess): Promise<string> {
+    const socket = net.connect(gw.callerPort, '127.0.0.1')
+    let text = ''
+    socket.on('data', (chunk) => { text += chunk.toString() })
+    socket.on('error', (err) => { text += `[${err.message}]` })
+    socket.write('POST /r/x HTTP/1.1\r\nhost: ledger.example\r\nrequest-id: r5\r\nauthorization: Token key1\r\ndeadline-ms: 2500\r\nconnection: close\r\ncontent-length: 1\r\n\r\nb')
+    await new Promise((resolve) => { socket.on('close', resolve) })
+    return text
+  }
+
+  it('gets nothing of an error response of the second target, and does not look complete', async () => {
+    const { text, log } = await resume(2, [(req, res) => respond(req, res, 500, {}, 'boom')])
+    chai.expect(text.match(/HTTP\/1\.1 \d+/g)).to.deep.equal(['HTTP/1.1 200'])
+    // An event in its chunk, and no last chunk.
+    chai.expect(text.split('\r\n\r\n').slice(1).join('|')).to.equal(`f\r\n${FIRST}\r\n`)
+    chai.expect(log).not.to.match(/event=request_failed/)
+    chai.expect(log).to.match(/event=stream_broken_off .*id=r5 .*reason=target_failed detail="status 500" .*relayed_to=1/)
+  })
+
+  it('goes on at a third target after an error response of the second one', async () => {
+    const { text, log } = await resume(3, [
+      (req, res) => respond(req, res, 404, {}, 'boom'),
+      (req, res) => respond(req, res, 200, HEAD, 'id: 2\ndata: b\n\n')
+    ])
+    chai.expect(text).to.match(/^HTTP\/1\.1 200 OK\r\n/)
+    chai.expect(text.split('\r\n\r\n').slice(1).join('|')).to.equal(`f\r\n${FIRST}\r\nf\r\nid: 2\ndata: b\n\n\r\n0|`)
+    chai.expect(log).to.match(/event=attempt_failed .*id=r5 .*kind=answered reason="status 404"/)
+  })
+})
+
 // docs/OPERATIONS.md uses these lines to trace a failed request from its id to the cause.
 describe('log lines of a failed request', () => {
   it('show a request that was refused because no target accepted it', async () => {
--- a/test/support/forwarder-fixture.ts
+++ b/test/support/forwarder-fixture.ts
@@ -13,7 +13,7 @@
 
 export const STREAM = build.aRoute({ streaming: true, idempotency: 'resumable', callerIdleTimeoutMs: 2_000 })
 
-/** A forwarder and what it sent and counted; `slack` is that of the retry budget. */
+/** A forwarder and what it sent, logged and counted; `slack` is that of the retry budget. */
 export function setUp (slack = 100) {
   const virtual = new time.VirtualTime()
   const env = virtual.env(1)
@@ -22,6 +22,7 @@
   const executed: string[] = []
   const budget = new retry.SharedRetryBudget(virtual, { ratio: 0.2, slack, windowMs: 10_000 }, () => 1)
   const counters = new metrics.Metrics()
+  const lines: string[] = []
   const placer = new placement.PlainPlacer(fleet, env, 'd1', () => 1)
   const segments = new quarantine.SegmentQuarantine({ clock: virtual, selfName: 'g', gateways: () => ['g'], log: log.SILENT_LOGGER })
   const forwarder = new forward.Forwarder({
@@ -35,7 +36,7 @@
     quarantine: segments,
     listAgeMs: () => 0,
     configVersion: () => 1,
-    log: log.SILENT_LOGGER,
+    log: log.createLogger('gateway', 'info', { write: (line: string) => lines.push(line) > 0 } as never),
     metrics: counters,
     dropIdleConnections: () => {}
   })
@@ -43,7 +44,7 @@
   const callerLeft = new AbortController()
   let outcome: errors.Refusal | undefined | 'open' = 'open'
   const start = (call: calls.Call): void => { forwarder.forward(call, reply, callerLeft.signal).then((refusal) => { outcome = refusal }, (err: unknown) => { throw err }) }
-  return { virtual, upstream, fleet, segments, counters, reply, callerLeft, executed, start, outcome: () => outcome }
+  return { virtual, upstream, fleet, segments, counters, lines, reply, callerLeft, executed, start, outcome: () => outcome }
 }
 
 /** Gives a complete response to a send. */
--- a/test/support/gateway-builders.ts
+++ b/test/support/gateway-builders.ts
@@ -83,6 +83,7 @@
   }
 
   start (head: calls.ResponseHead): void {
+    if (this.started) throw new Error('the head of this response was already sent')
     this.started = true
     this.status = head.status
   }
--- a/test/support/gateway-process.ts
+++ b/test/support/gateway-process.ts
@@ -36,7 +36,8 @@
   readonly store = new standin.MemoryStore(new time.SystemTimers())
   private node: gateway.GatewayNode | undefined
   private readonly servers: http.Server[] = []
-  private port = 0
+  /** Port for callers; 0 before the start. */
+  callerPort = 0
 
   /** Starts a server of the plain service and adds it to the list of targets. */
   async addServer (id: string, handler: http.RequestListener): Promise<void> {
@@ -51,7 +52,7 @@
   async start (config: object = CONFIG): Promise<void> {
     await this.store.put(servingConfig.CONFIG_KEY, JSON.stringify(config), 'absent')
     const ports = await freePorts(2)
-    this.port = ports[0]!
+    this.callerPort = ports[0]!
     const logOutput = { write: (line: string) => this.lines.push(line.trim()) > 0 }
     this.node = new gateway.GatewayNode({
       settings: {
@@ -60,7 +61,7 @@
         domain: 'z',
         domains: ['z'],
         callerHost: HOST,
-        callerPort: this.port,
+        callerPort: this.callerPort,
         peerHost: HOST,
         peerPort: ports[1]!,
         bounds: { keyRevocationMs: 5_000, leavePropagationMs: 2_000, targetExpiryMs: 2_400, configPropagationMs: 2_000, retryLimits: { ratio: 0.2, slack: 50, windowMs: 10_000 }, graceMs: 8_000, takeoverDelayMs: 3_000, usageWindowMs: 5_000 }
@@ -83,7 +84,7 @@
   async request (id: string, overrides: { path?: string, key?: string, body?: string, headers?: Record<string, string> } = {}): Promise<{ status: number, headers: http.IncomingHttpHeaders, body: string }> {
     return await new Promise((resolve, reject) => {
       const headers = { host: 'ledger.example', 'request-id': id, authorization: `Token ${overrides.key ?? 'key1'}`, 'deadline-ms': '2500', ...overrides.headers }
-      const req = http.request({ host: HOST, port: this.port, method: 'POST', path: overrides.path ?? '/r/x', headers, agent: false }, (res) => {
+      const req = http.request({ host: HOST, port: this.callerPort, method: 'POST', path: overrides.path ?? '/r/x', headers, agent: false }, (res) => {
         let body = ''
         res.on('data', (data: Buffer) => { body += data.toString() })
         res.on('end', () => resolve({ status: res.statusCode!, headers: res.headers, body }))
