Derive the times of a stop from the grace period

Seen: with a grace period under 5 s the process would be killed while it still accepted calls; none of them would be answered and the usage counts would not be written. Cause: the times of a stop were fixed, or fixed distances from the end of the grace period; a short one put them in the wrong order.

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -17,21 +17,13 @@
 import * as upstream from '../upstream/index.js'
 import * as gateway from './gateway.js'
 import * as httpFrontend from './http-frontend.js'
+import * as stopTimes from './stop-times.js'
 import type * as types from './types.js'
 
-/** Time after the start of a stop for which new calls are accepted, in ms: callers still use addresses given before. */
-const ACCEPT_AFTER_STOP_MS = 3_200
-
-/** Time before the end of the grace period that is the deadline of the last calls, in ms. */
-const LAST_CALLS_MARGIN_MS = 1_200
-
-/** Time before the end of the grace period at which the stop must be complete, in ms. */
-const EXIT_MARGIN_MS = 600
-
 /** Interval at which a stop checks whether it can continue, in ms. */
 const STOP_CHECK_MS = 50
 
-/** Timeout for releasing what other gateways wait for (lease and directory entry, then the usage ledger), in ms. */
+/** Timeout for releasing what other gateways wait for (lease and directory entry), in ms; a shorter grace period shortens it. */
 const RELEASE_TIMEOUT_MS = 1_000
 
 /** Settings of a gateway process. */
@@ -95,7 +87,7 @@
   private readonly usageCloser: duties.UsageCloser
   private readonly targetOrders: duties.TargetOrders
   private readonly budgets = new Map<string, retry.SharedRetryBudget>()
-  private stopStartedAt: number | undefined
+  private stopTimes: stopTimes.StopTimes | undefined
 
   constructor (private readonly deps: NodeDeps) {
     const { env, store, log, metrics, settings } = deps
@@ -146,7 +138,7 @@
 
   /** Whether callers are served: not stopping, with fresh keys and a list of targets. */
   get ready (): boolean {
-    return this.stopStartedAt === undefined && this.gateway.keysAreFresh && this.fleetFeed.ready
+    return this.stopTimes === undefined && this.gateway.keysAreFresh && this.fleetFeed.ready
   }
 
   /** Addresses of gateways that callers are given. */
@@ -156,25 +148,24 @@
 
   /** Stops: releases the lease, serves new calls until callers have other addresses, and waits for the last calls. */
   async stop (): Promise<void> {
-    const { env, settings, log } = this.deps
-    if (this.stopStartedAt !== undefined) return
-    this.stopStartedAt = env.clock.now()
-    const exitAt = this.stopStartedAt + settings.bounds.graceMs - EXIT_MARGIN_MS
+    const { env, log } = this.deps
+    if (this.stopTimes !== undefined) return
+    const times = this.beginStop()
     this.frontend.disableKeepAlive()
     this.usageCloser[Symbol.dispose]()
     this.targetOrders[Symbol.dispose]()
-    await time.withTimeout(env.timers, RELEASE_TIMEOUT_MS, this.releaseLeaseAndDeregister(), () => undefined)
-    while (!this.refusing) await time.delay(env.timers, STOP_CHECK_MS)
+    await time.withTimeout(env.timers, Math.min(RELEASE_TIMEOUT_MS, times.acceptUntil - times.startedAt), this.releaseLeaseAndDeregister(), () => undefined)
+    await this.waitFor(() => this.refusing, times.waitUntil)
     this.frontend.stopListening()
-    while (this.frontend.activeRequests > 0 && env.clock.now() < exitAt - RELEASE_TIMEOUT_MS) await time.delay(env.timers, STOP_CHECK_MS)
-    await time.withTimeout(env.timers, RELEASE_TIMEOUT_MS, this.usageLedger[Symbol.asyncDispose](), () => undefined)
-    log.info({ active_calls: this.frontend.activeRequests, unfinished_responses: this.frontend.unfinishedResponses, ms: Math.round(env.clock.now() - this.stopStartedAt) }, 'stop_ended')
+    await this.waitFor(() => this.frontend.activeRequests === 0, times.waitUntil)
+    await time.withTimeout(env.timers, times.exitAt - env.clock.now(), this.usageLedger[Symbol.asyncDispose](), () => undefined)
+    log.info({ active_calls: this.frontend.activeRequests, unfinished_responses: this.frontend.unfinishedResponses, ms: Math.round(env.clock.now() - times.startedAt) }, 'stop_ended')
   }
 
   /** Closes all sockets and ends all tasks at once, without waiting for calls. */
   async [Symbol.asyncDispose] (): Promise<void> {
     const { env } = this.deps
-    this.stopStartedAt ??= env.clock.now()
+    this.beginStop()
     for (const task of [this.usageCloser, this.targetOrders, this.feed, this.fleetFeed, this.cacheFeed, this.quarantineRecords, this.exchange, this.pool]) task[Symbol.dispose]()
     await time.withTimeout(env.timers, RELEASE_TIMEOUT_MS, this.releaseLeaseAndDeregister(), () => undefined)
     await this.usageLedger[Symbol.asyncDispose]()
@@ -188,7 +179,19 @@
   }
 
   private get refusing (): boolean {
-    return this.stopStartedAt !== undefined && this.deps.env.clock.now() - this.stopStartedAt > ACCEPT_AFTER_STOP_MS
+    return this.stopTimes !== undefined && this.deps.env.clock.now() >= this.stopTimes.acceptUntil
+  }
+
+  private beginStop (): stopTimes.StopTimes {
+    const { env, settings } = this.deps
+    this.stopTimes ??= new stopTimes.StopTimes(env.clock.now(), settings.bounds.graceMs)
+    return this.stopTimes
+  }
+
+  /** Resolves when `done()` is true, at `until` at the latest. */
+  private async waitFor (done: () => boolean, until: number): Promise<void> {
+    const { clock, timers } = this.deps.env
+    for (let leftMs = until - clock.now(); leftMs > 0 && !done(); leftMs = until - clock.now()) await time.delay(timers, Math.min(STOP_CHECK_MS, leftMs))
   }
 
   private gatewayRecord (): exchange.GatewayRecord {
@@ -228,7 +231,7 @@
       metrics,
       dropIdleConnections: (address) => this.pool.dropIdleConnections(address)
     })
-    const callsEndAt = (): number | undefined => this.stopStartedAt === undefined ? undefined : this.stopStartedAt + settings.bounds.graceMs - LAST_CALLS_MARGIN_MS
+    const callsEndAt = (): number | undefined => this.stopTimes?.callsEndAt
     return new gateway.Gateway({ env, feed: this.feed, forwarder, bounds: settings.bounds, callsEndAt, refusing: () => this.refusing })
   }
 
--- /dev/null
+++ b/test/gateway/stop.test.ts
@@ -0,0 +1,48 @@
+import type * as http from 'node:http'
+import * as chai from 'chai'
+import * as support from '../support/gateway-process.js'
+
+/** Calls may last longer than any grace period of these tests. */
+const LONG_CALLS = { ...support.CONFIG, routes: [{ ...support.CONFIG.routes[0], timeoutMs: 30_000 }] }
+
+/** Responds after `delayMs`. */
+function respondAfter (delayMs: number): http.RequestListener {
+  return (req, res) => {
+    req.resume()
+    req.on('end', () => setTimeout(() => {
+      res.writeHead(200, { 'request-id': req.headers['request-id'] ?? '', 'response-stamp': 's1' })
+      res.end('done')
+    }, delayMs))
+  }
+}
+
+/** A started gateway with one server of the plain service. */
+async function start (handler: http.RequestListener, graceMs: number, config: object = LONG_CALLS): Promise<support.GatewayProcess> {
+  const gw = new support.GatewayProcess()
+  await gw.addServer('i-1', handler)
+  await gw.start(config, graceMs)
+  return gw
+}
+
+/** Stops the gateway and then closes all its connections, as the end of the process does. */
+async function stopAndExit (gw: support.GatewayProcess): Promise<void> {
+  await gw.stop()
+  await gw.exit()
+}
+
+/** The status and body that the caller of a request got, or `broken off`. */
+async function outcomeOf (gw: support.GatewayProcess, id: string): Promise<string> {
+  return await gw.request(id, { headers: { 'deadline-ms': '30000' } }).then((res) => `${res.status} ${res.body}`, () => 'broken off')
+}
+
+describe('a planned stop', () => {
+  it('is over before the grace period is, however short that is', async () => {
+    await using gw = await start(respondAfter(100), 1_000)
+    const startedAt = performance.now()
+    const stopped = stopAndExit(gw)
+    const outcome = outcomeOf(gw, 'r1')
+    await stopped
+    chai.expect(performance.now() - startedAt).to.be.lessThan(1_000)
+    chai.expect(await outcome).to.equal('200 done')
+  })
+}).timeout(20_000)
--- a/test/support/gateway-process.ts
+++ b/test/support/gateway-process.ts
@@ -1,6 +1,6 @@
 /** A complete gateway with the platform adapter on loopback, an in-memory store, and scripted servers. */
 import * as http from 'node:http'
-import type * as net from 'node:net'
+import * as net from 'node:net'
 import type * as duties from '../../src/duties/index.js'
 import * as errors from '../../src/errors/index.js'
 import * as gateway from '../../src/gateway/index.js'
@@ -48,7 +48,7 @@
   }
 
   /** Starts the gateway and waits until it is ready. */
-  async start (config: object = CONFIG): Promise<void> {
+  async start (config: object = CONFIG, graceMs = 8_000): Promise<void> {
     await this.store.put(servingConfig.CONFIG_KEY, JSON.stringify(config), 'absent')
     const ports = await freePorts(2)
     this.port = ports[0]!
@@ -63,7 +63,7 @@
         callerPort: this.port,
         peerHost: HOST,
         peerPort: ports[1]!,
-        bounds: { keyRevocationMs: 5_000, leavePropagationMs: 2_000, targetExpiryMs: 2_400, configPropagationMs: 2_000, retryLimits: { ratio: 0.2, slack: 50, windowMs: 10_000 }, graceMs: 8_000, takeoverDelayMs: 3_000, usageWindowMs: 5_000 }
+        bounds: { keyRevocationMs: 5_000, leavePropagationMs: 2_000, targetExpiryMs: 2_400, configPropagationMs: 2_000, retryLimits: { ratio: 0.2, slack: 50, windowMs: 10_000 }, graceMs, takeoverDelayMs: 3_000, usageWindowMs: 5_000 }
       },
       env: time.systemEnv(),
       store: this.store,
@@ -94,6 +94,11 @@
     })
   }
 
+  /** Opens a connection of a caller that writes requests as text. */
+  connect (): RawCaller {
+    return new RawCaller(net.connect(this.port, HOST))
+  }
+
   /** Log lines that contain the id of a request. */
   linesOf (id: string): string[] {
     return this.lines.filter((line) => line.includes(`id=${id}`))
@@ -103,6 +108,11 @@
     await this.node?.stop()
   }
 
+  /** Closes all connections at once, as the end of the process does. */
+  async exit (): Promise<void> {
+    await this.node?.[Symbol.asyncDispose]()
+  }
+
   async [Symbol.asyncDispose] (): Promise<void> {
     await this.node?.[Symbol.asyncDispose]()
     for (const server of this.servers) {
@@ -112,6 +122,34 @@
   }
 }
 
+/** A caller's connection, as bytes. */
+export class RawCaller implements Disposable {
+  /** All that was received. */
+  text = ''
+  /** Resolves when the connection has closed. */
+  readonly closed: Promise<void>
+
+  constructor (readonly socket: net.Socket) {
+    socket.on('data', (data: Buffer) => { this.text += data.toString('latin1') })
+    socket.on('error', () => {})
+    this.closed = new Promise((resolve) => { socket.once('close', () => resolve()) })
+  }
+
+  /** Sends the head of a request, and as much of its body as is given. */
+  send (id: string, body: string, length = body.length): void {
+    this.socket.write(`POST /r/x HTTP/1.1\r\nhost: ledger.example\r\nrequest-id: ${id}\r\nauthorization: Token key1\r\ndeadline-ms: 30000\r\ncontent-length: ${length}\r\n\r\n${body}`)
+  }
+
+  /** Statuses of the responses whose head was received. */
+  get statuses (): number[] {
+    return [...this.text.matchAll(/HTTP\/1\.1 (\d+)/g)].map((match) => Number(match[1]))
+  }
+
+  [Symbol.dispose] (): void {
+    this.socket.destroy()
+  }
+}
+
 async function freePorts (count: number): Promise<number[]> {
   const servers = Array.from({ length: count }, () => http.createServer())
   const ports: number[] = []
