Finish a planned stop when SIGTERM arrives again

Seen: a second SIGTERM during a stop ended the process at once; all running calls were cut off without a response. Cause: stop() returned at once when a stop was under way, and the process exits when stop() resolves. Change: all calls of stop() wait for the one stop. Ruled out: SIGHUP during a stop, which only validates the settings file and catches all errors. Evidence: the new test asks twice with a call running; before, the caller got 'broken off' instead of '200 done'; now it passes.

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -88,6 +88,7 @@
   private readonly targetOrders: duties.TargetOrders
   private readonly budgets = new Map<string, retry.SharedRetryBudget>()
   private stopTimes: stopTimes.StopTimes | undefined
+  private stopping: Promise<void> | undefined
 
   constructor (private readonly deps: NodeDeps) {
     const { env, store, log, metrics, settings } = deps
@@ -146,20 +147,13 @@
     return this.directory.addresses()
   }
 
-  /** Stops: releases the lease, serves new calls until callers have other addresses, and waits for the last calls. */
+  /**
+   * Stops: releases the lease, serves new calls until callers have other addresses, and waits for the last calls. Further
+   * calls of this method wait for the same stop.
+   */
   async stop (): Promise<void> {
-    const { env, log } = this.deps
-    if (this.stopTimes !== undefined) return
-    const times = this.beginStop()
-    this.frontend.disableKeepAlive()
-    this.usageCloser[Symbol.dispose]()
-    this.targetOrders[Symbol.dispose]()
-    await time.withTimeout(env.timers, Math.min(RELEASE_TIMEOUT_MS, times.acceptUntil - times.startedAt), this.releaseLeaseAndDeregister(), () => undefined)
-    await this.waitFor(() => this.refusing, times.waitUntil)
-    this.frontend.stopListening()
-    await this.waitFor(() => this.frontend.activeRequests === 0, times.waitUntil)
-    await time.withTimeout(env.timers, times.exitAt - env.clock.now(), this.usageLedger[Symbol.asyncDispose](), () => undefined)
-    log.info({ active_calls: this.frontend.activeRequests, unfinished_responses: this.frontend.unfinishedResponses, ms: Math.round(env.clock.now() - times.startedAt) }, 'stop_ended')
+    this.stopping ??= this.runStop()
+    await this.stopping
   }
 
   /** Closes all sockets and ends all tasks at once, without waiting for calls. */
@@ -173,6 +167,20 @@
     await this.peers[Symbol.asyncDispose]()
   }
 
+  private async runStop (): Promise<void> {
+    const { env, log } = this.deps
+    const times = this.beginStop()
+    this.frontend.disableKeepAlive()
+    this.usageCloser[Symbol.dispose]()
+    this.targetOrders[Symbol.dispose]()
+    await time.withTimeout(env.timers, Math.min(RELEASE_TIMEOUT_MS, times.acceptUntil - times.startedAt), this.releaseLeaseAndDeregister(), () => undefined)
+    await this.waitFor(() => this.refusing, times.waitUntil)
+    this.frontend.stopListening()
+    await this.waitFor(() => this.frontend.activeRequests === 0, times.waitUntil)
+    await time.withTimeout(env.timers, times.exitAt - env.clock.now(), this.usageLedger[Symbol.asyncDispose](), () => undefined)
+    log.info({ active_calls: this.frontend.activeRequests, unfinished_responses: this.frontend.unfinishedResponses, ms: Math.round(env.clock.now() - times.startedAt) }, 'stop_ended')
+  }
+
   private async releaseLeaseAndDeregister (): Promise<void> {
     await this.lease[Symbol.asyncDispose]()
     await this.directory[Symbol.asyncDispose]()
--- a/test/gateway/stop.test.ts
+++ b/test/gateway/stop.test.ts
@@ -1,7 +1,10 @@
 import type * as http from 'node:http'
 import * as chai from 'chai'
+import * as time from '../../src/time/index.js'
 import * as support from '../support/gateway-process.js'
 
+const timers = new time.SystemTimers()
+
 /** Calls may last longer than any grace period of these tests. */
 const LONG_CALLS = { ...support.CONFIG, routes: [{ ...support.CONFIG.routes[0], timeoutMs: 30_000 }] }
 
@@ -45,4 +48,14 @@
     chai.expect(performance.now() - startedAt).to.be.lessThan(1_000)
     chai.expect(await outcome).to.equal('200 done')
   })
+
+  it('is not cut short by a second request to stop', async () => {
+    await using gw = await start(respondAfter(300), 2_000)
+    const outcome = outcomeOf(gw, 'r1')
+    await time.delay(timers, 50)
+    const stopped = gw.stop()
+    await stopAndExit(gw)
+    chai.expect(await outcome).to.equal('200 done')
+    await stopped
+  })
 }).timeout(20_000)
