Wait for the last calls of a stop until their deadline has passed

Seen: the process ended 6.4 s after SIGTERM (of 8) while calls still ran. The deadline of the calls that had arrived meanwhile was 6.8 s, so they got neither a response nor a refusal; nor did one whose target was still at work at the start of the last sixth (6.67 s). Cause: the stop kept a second back from its end for the usage counts, and so stopped waiting before the deadline that it had given out. Change: calls have until 0.85 of the grace period as before, the wait for their responses ends at 0.94. The usage counts are written from 0.85 on, beside that wait: 0.88 s of a grace period of 8 s, before 1 s. Evidence: the two new tests got 'broken off' before, instead of '504' and '200 done'; now they pass.

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -174,10 +174,12 @@
     this.usageCloser[Symbol.dispose]()
     this.targetOrders[Symbol.dispose]()
     await time.withTimeout(env.timers, Math.min(RELEASE_TIMEOUT_MS, times.acceptUntil - times.startedAt), this.releaseLeaseAndDeregister(), () => undefined)
-    await this.waitFor(() => this.refusing, times.waitUntil)
+    await this.waitFor(() => this.refusing, times.callsEndAt)
     this.frontend.stopListening()
-    await this.waitFor(() => this.frontend.activeRequests === 0, times.waitUntil)
-    await time.withTimeout(env.timers, times.exitAt - env.clock.now(), this.usageLedger[Symbol.asyncDispose](), () => undefined)
+    await this.waitFor(() => this.frontend.activeRequests === 0, times.callsEndAt)
+    const usageWritten = time.withTimeout(env.timers, times.exitAt - env.clock.now(), this.usageLedger[Symbol.asyncDispose](), () => undefined)
+    await this.waitFor(() => this.frontend.activeRequests === 0, times.responsesEndAt)
+    await usageWritten
     log.info({ active_calls: this.frontend.activeRequests, unfinished_responses: this.frontend.unfinishedResponses, ms: Math.round(env.clock.now() - times.startedAt) }, 'stop_ended')
   }
 
--- a/src/gateway/stop-times.ts
+++ b/src/gateway/stop-times.ts
@@ -6,30 +6,33 @@
 /** Share of the grace period for which new calls are accepted at most. */
 const ACCEPT_SHARE = 0.4
 
-/** Share of the grace period after which the stop no longer waits for calls. */
-const WAIT_SHARE = 0.8
-
-/** Share of the grace period that is the deadline of the last calls. */
+/**
+ * Share of the grace period that is the deadline of the last calls: in its last sixth, before which no call that a target
+ * still executes may be ended.
+ */
 const CALLS_END_SHARE = 0.85
 
+/** Share of the grace period by which the responses must be written. */
+const RESPONSES_END_SHARE = 0.94
+
 /** Share of the grace period after which the process must have ended. */
-const EXIT_SHARE = 0.925
+const EXIT_SHARE = 0.96
 
-/** When the steps of a stop end, in ms on the monotonic clock. */
+/** When the steps of a stop end, in ms on the monotonic clock; none is later than the next. */
 export class StopTimes {
   /** When new calls are no longer accepted. */
   readonly acceptUntil: number
-  /** When the stop no longer waits for calls. */
-  readonly waitUntil: number
   /** Deadline of the calls that arrive during the stop. */
   readonly callsEndAt: number
+  /** When the stop no longer waits for responses. */
+  readonly responsesEndAt: number
   /** When the process ends at the latest. */
   readonly exitAt: number
 
   constructor (readonly startedAt: number, graceMs: number) {
     this.acceptUntil = startedAt + Math.min(MAX_ACCEPT_MS, graceMs * ACCEPT_SHARE)
-    this.waitUntil = startedAt + graceMs * WAIT_SHARE
     this.callsEndAt = startedAt + graceMs * CALLS_END_SHARE
+    this.responsesEndAt = startedAt + graceMs * RESPONSES_END_SHARE
     this.exitAt = startedAt + graceMs * EXIT_SHARE
   }
 }
--- a/test/gateway/stop.test.ts
+++ b/test/gateway/stop.test.ts
@@ -58,4 +58,21 @@
     chai.expect(await outcome).to.equal('200 done')
     await stopped
   })
+
+  it('responds to a call that arrived during the stop and has no response of its target at the end', async () => {
+    await using gw = await start((req) => { req.resume() }, 2_000)
+    const stopped = stopAndExit(gw)
+    await time.delay(timers, 50)
+    const outcome = outcomeOf(gw, 'r1')
+    await stopped
+    chai.expect(await outcome).to.equal('504 ')
+  })
+
+  it('waits for a response that arrives at the beginning of the last sixth of the grace period', async () => {
+    await using gw = await start(respondAfter(3_350), 4_000)
+    const stopped = stopAndExit(gw)
+    const outcome = outcomeOf(gw, 'r1')
+    await stopped
+    chai.expect(await outcome).to.equal('200 done')
+  })
 }).timeout(20_000)
