Give each call a final response before a stop ends the process

Seen: a call that had arrived before SIGTERM, with a deadline later than the end of the process, was cut off without a response. A stream that had begun under a call of the stop was broken off at 6.8 s although the process went on until 7.4 s. Cause: only calls that arrived during the stop got a deadline before its end, and streams got the same one as calls without a response. Change: at 0.85 of the grace period the stop ends all calls whose response has not started: 504 when a target may have executed the call, else 503. Streams that have begun go on until 0.94. Ruled out: to change the deadlines of running calls; they were sent to the targets, and a stream must keep its own. Evidence: two new tests; before, 'broken off' instead of '504', and 'broken off' for the stream that arrived during the stop; both pass. Why it works: after that time no call begins to execute, and nothing but begun streams and buffered bytes is left to wait for.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import type * as forward from '../forward/index.js'
 import * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
+import * as runningCalls from './running-calls.js'
 import type * as types from './types.js'
 
 /** Share of the key revocation bound up to which a copy of the keys is fresh enough to be used. */
@@ -32,14 +33,16 @@
   readonly feed: serving.ConfigFeed
   readonly forwarder: forward.Forwarder
   readonly bounds: GatewayBounds
-  /** Deadline of all calls while this process stops, on the monotonic clock; undefined while it is not stopping. */
-  readonly callsEndAt: () => number | undefined
+  /** Deadline of the calls that arrive while this process stops, on the monotonic clock; undefined while it is not stopping. */
+  readonly callsEndAt: (streaming: boolean) => number | undefined
   /** Whether new calls are refused. */
   readonly refusing: () => boolean
 }
 
 /** Authorizes requests of callers and passes them to the forwarder. */
 export class Gateway implements types.CallHandler {
+  private readonly running = new runningCalls.RunningCalls()
+
   constructor (private readonly deps: GatewayDeps) {}
 
   async handle (req: types.CallerReq, body: Uint8Array, reply: calls.Reply, signal: AbortSignal): Promise<errors.Refusal | undefined> {
@@ -47,7 +50,13 @@
     if (this.deps.refusing()) return refusal('entry_stopping', 'parse', RETRY_AFTER_MS)
     const authorized = await this.authorize(req)
     if (authorized instanceof errors.Refusal) return authorized
-    return await this.deps.forwarder.forward(this.createCall(req, body, authorized, arrivedAt), reply, signal)
+    const call = this.createCall(req, body, authorized, arrivedAt)
+    return await this.running.run(reply, signal, async (ending) => await this.deps.forwarder.forward(call, reply, ending))
+  }
+
+  /** Ends the calls whose response has not started; streams that have begun go on. */
+  endUnstartedCalls (): void {
+    this.running.endUnstarted()
   }
 
   /** Whether the copy of the keys is fresh enough to serve requests with keys now. */
@@ -104,7 +113,7 @@
       account: account?.name,
       priority: account?.priority ?? route.priority,
       arrivedAt,
-      deadlineAt: Math.min(arrivedAt + waitMs, this.deps.callsEndAt() ?? Infinity),
+      deadlineAt: Math.min(arrivedAt + waitMs, this.deps.callsEndAt(route.streaming) ?? Infinity),
       prompt: req.prompt,
       resumeAfter: req.resumeAfter,
       checkAuthorization: () => key === undefined || account === undefined ? undefined : this.checkKey(key, account.name)
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -177,6 +177,8 @@
     await this.waitFor(() => this.refusing, times.callsEndAt)
     this.frontend.stopListening()
     await this.waitFor(() => this.frontend.activeRequests === 0, times.callsEndAt)
+    // No call begins to execute after this, so that the counts of executed calls are final.
+    this.gateway.endUnstartedCalls()
     const usageWritten = time.withTimeout(env.timers, times.exitAt - env.clock.now(), this.usageLedger[Symbol.asyncDispose](), () => undefined)
     await this.waitFor(() => this.frontend.activeRequests === 0, times.responsesEndAt)
     await usageWritten
@@ -241,7 +243,7 @@
       metrics,
       dropIdleConnections: (address) => this.pool.dropIdleConnections(address)
     })
-    const callsEndAt = (): number | undefined => this.stopTimes?.callsEndAt
+    const callsEndAt = (streaming: boolean): number | undefined => streaming ? this.stopTimes?.responsesEndAt : this.stopTimes?.callsEndAt
     return new gateway.Gateway({ env, feed: this.feed, forwarder, bounds: settings.bounds, callsEndAt, refusing: () => this.refusing })
   }
 
--- a/src/gateway/stop-times.ts
+++ b/src/gateway/stop-times.ts
@@ -7,12 +7,12 @@
 const ACCEPT_SHARE = 0.4
 
 /**
- * Share of the grace period that is the deadline of the last calls: in its last sixth, before which no call that a target
+ * Share of the grace period after which calls without a response end: in its last sixth, before which no call that a target
  * still executes may be ended.
  */
 const CALLS_END_SHARE = 0.85
 
-/** Share of the grace period by which the responses must be written. */
+/** Share of the grace period by which streams must end and the responses be written. */
 const RESPONSES_END_SHARE = 0.94
 
 /** Share of the grace period after which the process must have ended. */
@@ -22,7 +22,7 @@
 export class StopTimes {
   /** When new calls are no longer accepted. */
   readonly acceptUntil: number
-  /** Deadline of the calls that arrive during the stop. */
+  /** When calls end whose response has not started. */
   readonly callsEndAt: number
   /** When the stop no longer waits for responses. */
   readonly responsesEndAt: number
--- a/test/gateway/stop.test.ts
+++ b/test/gateway/stop.test.ts
@@ -8,6 +8,25 @@
 /** Calls may last longer than any grace period of these tests. */
 const LONG_CALLS = { ...support.CONFIG, routes: [{ ...support.CONFIG.routes[0], timeoutMs: 30_000 }] }
 
+const LONG_STREAMS = { ...LONG_CALLS, routes: [{ ...LONG_CALLS.routes[0], kind: 'streaming', gapTargetMs: 30_000 }] }
+
+/** Streams an event each 50 ms for `ms`. */
+function streamFor (ms: number): http.RequestListener {
+  return (req, res) => {
+    req.resume()
+    res.writeHead(200, { 'request-id': req.headers['request-id'] ?? '', 'response-stamp': 's1', 'content-type': 'text/event-stream' })
+    const startedAt = performance.now()
+    let events = 0
+    const timer = setInterval(() => {
+      res.write(`id: ${++events}\ndata: a\n\n`)
+      if (performance.now() - startedAt < ms) return
+      clearInterval(timer)
+      res.end(`id: ${++events}\ndata: last\n\n`)
+    }, 50)
+    res.on('close', () => clearInterval(timer))
+  }
+}
+
 /** Responds after `delayMs`. */
 function respondAfter (delayMs: number): http.RequestListener {
   return (req, res) => {
@@ -68,6 +87,25 @@
     chai.expect(await outcome).to.equal('504 ')
   })
 
+  it('responds to a call that arrived before the stop and has no response of its target at the end', async () => {
+    await using gw = await start((req) => { req.resume() }, 2_000)
+    const outcome = outcomeOf(gw, 'r1')
+    await time.delay(timers, 50)
+    await stopAndExit(gw)
+    chai.expect(await outcome).to.equal('504 ')
+  })
+
+  it('lets a stream that has begun run on after the deadline of the other calls', async () => {
+    await using gw = await start(streamFor(3_550), 4_000, LONG_STREAMS)
+    const before = outcomeOf(gw, 'r1')
+    await time.delay(timers, 50)
+    const stopped = stopAndExit(gw)
+    const meanwhile = outcomeOf(gw, 'r2')
+    await stopped
+    chai.expect(await before).to.match(/^200 .*last\s+$/s)
+    chai.expect(await meanwhile).to.match(/^200 .*last\s+$/s)
+  })
+
   it('waits for a response that arrives at the beginning of the last sixth of the grace period', async () => {
     await using gw = await start(respondAfter(3_350), 4_000)
     const stopped = stopAndExit(gw)
