End all calls of a connection when it breaks, also those whose response has to wait

Seen: when a caller sent a second request before the first response and then broke the connection, the second call ran on at its target until its deadline, and unfinishedResponses stayed above 0 for good; a stop waited for it to the end. Cause: a response that waits for an earlier one is not attached to the connection, and Node emits no 'close' for it. Change: CallerConnections keeps the pending requests of each connection and ends them when it closes.

--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -5,6 +5,7 @@
 import type * as metrics from '../metrics/index.js'
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
+import * as callerConnections from './caller-connections.js'
 import * as httpReply from './http-reply.js'
 import type * as types from './types.js'
 
@@ -46,6 +47,7 @@
 /** Reads requests within the limits of the configuration and writes the responses. */
 export class HttpFrontend implements AsyncDisposable {
   private readonly server: http.Server
+  private readonly connections = new callerConnections.CallerConnections()
   private closing = false
   private active = 0
   private activeBodyBytes = 0
@@ -59,6 +61,7 @@
       noDelay: true
     }, (req, res) => { this.serve(req, res).catch((err: unknown) => this.failRequest(res, err)) })
     this.applyLimits(DEFAULT_LIMITS)
+    this.server.on('connection', (socket) => this.connections.add(socket))
     this.server.on('clientError', (err, socket) => {
       this.deps.metrics.count('godwitpoint_client_errors_total')
       if (socket.writable && (err as NodeJS.ErrnoException).code !== 'ECONNRESET') socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
@@ -110,7 +113,7 @@
     const callerLeft = new AbortController()
     let heldBytes = 0
     this.unfinished++
-    res.on('close', () => {
+    this.connections.begin(req, res, () => {
       this.unfinished--
       if (res.writableFinished) return
       this.noteUnfinished(req, res)
--- a/test/gateway/stop.test.ts
+++ b/test/gateway/stop.test.ts
@@ -113,4 +113,16 @@
     await stopped
     chai.expect(await outcome).to.equal('200 done')
   })
+
+  it('does not wait for the responses of a connection that has broken', async () => {
+    await using gw = await start((req) => { req.resume() }, 4_000)
+    using caller = gw.connect()
+    caller.send('r1', 'b')
+    caller.send('r2', 'b')
+    await time.delay(timers, 100)
+    caller.socket.resetAndDestroy()
+    const startedAt = performance.now()
+    await stopAndExit(gw)
+    chai.expect(performance.now() - startedAt).to.be.lessThan(3_000)
+  })
 }).timeout(20_000)
