Do not cut off responses that are still being written when a gateway stops

Seen: a caller that read slowly during a stop got 3,919,872 of 15,000,000 bytes; the connection was then closed. Cause: closing the server also closes connections that Node takes for idle. It takes them so once the response was handed over, although most of it may still be buffered in this process. The end of the process did the same: the stop waited for active requests only, which end at the same moment. Connections on which a further request has begun to arrive stay open as before: it is refused when it is complete. Ruled out: bytes that the kernel still has to send at the end of the process; it sends them after the close, unless received bytes are unread. Evidence: the new test failed with the numbers above and passes. A second one covers requests that become complete only after the last call was accepted, and connections without a request: each is refused or closed. It passed before as well.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -5,6 +5,8 @@
 interface CallerConnection {
   /** For each request without a complete response, what is to be done when it has one or the connection closes. */
   readonly pending: Map<http.IncomingMessage, () => void>
+  /** Bytes that were received when the last response was complete; undefined before the first. */
+  bytesAtLastEnd: number | undefined
 }
 
 /** Tracks the connections of callers. */
@@ -13,7 +15,7 @@
 
   /** Tracks a connection until it closes. */
   add (socket: net.Socket): void {
-    const connection: CallerConnection = { pending: new Map() }
+    const connection: CallerConnection = { pending: new Map(), bytesAtLastEnd: undefined }
     this.connections.set(socket, connection)
     socket.once('close', () => {
       this.connections.delete(socket)
@@ -26,10 +28,19 @@
     const connection = this.connections.get(req.socket)
     if (connection === undefined) return
     const end = (): void => {
-      if (connection.pending.delete(req)) onEnd()
+      if (!connection.pending.delete(req)) return
+      connection.bytesAtLastEnd = req.socket.bytesRead
+      onEnd()
     }
     connection.pending.set(req, end)
     // A response that waits for an earlier one emits no event when its connection closes.
     res.once('close', end)
   }
+
+  /** Closes the connections whose responses were all written and on which no further request has begun to arrive. */
+  closeIdle (): void {
+    for (const [socket, { pending, bytesAtLastEnd }] of this.connections) {
+      if (pending.size === 0 && bytesAtLastEnd === socket.bytesRead) socket.destroy()
+    }
+  }
 }
--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -62,6 +62,8 @@
     }, (req, res) => { this.serve(req, res).catch((err: unknown) => this.failRequest(res, err)) })
     this.applyLimits(DEFAULT_LIMITS)
     this.server.on('connection', (socket) => this.connections.add(socket))
+    // Node's own method, which close() calls, also closes connections whose response is still buffered.
+    this.server.closeIdleConnections = () => this.connections.closeIdle()
     this.server.on('clientError', (err, socket) => {
       this.deps.metrics.count('godwitpoint_client_errors_total')
       if (socket.writable && (err as NodeJS.ErrnoException).code !== 'ECONNRESET') socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -176,11 +176,12 @@
     await time.withTimeout(env.timers, Math.min(RELEASE_TIMEOUT_MS, times.acceptUntil - times.startedAt), this.releaseLeaseAndDeregister(), () => undefined)
     await this.waitFor(() => this.refusing, times.callsEndAt)
     this.frontend.stopListening()
-    await this.waitFor(() => this.frontend.activeRequests === 0, times.callsEndAt)
+    const allWritten = (): boolean => this.frontend.activeRequests === 0 && this.frontend.unfinishedResponses === 0
+    await this.waitFor(allWritten, times.callsEndAt)
     // No call begins to execute after this, so that the counts of executed calls are final.
     this.gateway.endUnstartedCalls()
     const usageWritten = time.withTimeout(env.timers, times.exitAt - env.clock.now(), this.usageLedger[Symbol.asyncDispose](), () => undefined)
-    await this.waitFor(() => this.frontend.activeRequests === 0, times.responsesEndAt)
+    await this.waitFor(allWritten, times.responsesEndAt)
     await usageWritten
     log.info({ active_calls: this.frontend.activeRequests, unfinished_responses: this.frontend.unfinishedResponses, ms: Math.round(env.clock.now() - times.startedAt) }, 'stop_ended')
   }
--- a/test/gateway/stop.test.ts
+++ b/test/gateway/stop.test.ts
@@ -114,6 +114,28 @@
     chai.expect(await outcome).to.equal('200 done')
   })
 
+  it('does not cut off the rest of a response that its caller reads slowly', async () => {
+    const size = 15_000_000
+    const handler: http.RequestListener = (req, res) => {
+      req.resume()
+      req.on('end', () => {
+        res.writeHead(200, { 'request-id': req.headers['request-id'] ?? '', 'response-stamp': 's1' })
+        res.end(Buffer.alloc(size, 'x'))
+      })
+    }
+    await using gw = await start(handler, 2_000)
+    using caller = gw.connect()
+    caller.send('r1', 'b')
+    caller.socket.pause()
+    await time.delay(timers, 300)
+    const stopped = stopAndExit(gw)
+    await time.delay(timers, 1_200)
+    caller.socket.resume()
+    await caller.closed
+    await stopped
+    chai.expect(caller.text.length).to.be.greaterThan(size)
+  })
+
   it('does not wait for the responses of a connection that has broken', async () => {
     await using gw = await start((req) => { req.resume() }, 4_000)
     using caller = gw.connect()
@@ -125,4 +147,24 @@
     await stopAndExit(gw)
     chai.expect(performance.now() - startedAt).to.be.lessThan(3_000)
   })
+
+  it('refuses requests that become complete after the last call was accepted, and closes their connections', async () => {
+    await using gw = await start(respondAfter(0), 2_000)
+    using half = gw.connect()
+    half.send('r1', 'b', 2)
+    using idle = gw.connect()
+    idle.send('r0', 'b')
+    await time.delay(timers, 100)
+    using silent = gw.connect()
+    const holder = outcomeOf(gw, 'r9')
+    const stopped = stopAndExit(gw)
+    chai.expect(await holder).to.equal('200 done')
+    using fresh = gw.connect()
+    await time.delay(timers, 950)
+    half.socket.write('c')
+    silent.send('r2', 'b')
+    await Promise.all([half.closed, idle.closed, silent.closed, fresh.closed])
+    await stopped
+    chai.expect([half.statuses, idle.statuses, silent.statuses, fresh.statuses]).to.deep.equal([[503], [200], [503], []])
+  })
 }).timeout(20_000)
