Respond to all requests of a connection before a stopping gateway closes it

Seen: of two requests that a caller sent together during a stop, both were passed on to a target and only the first got a response; a request that was sent after the response that closes its connection was passed on as well and could not get one. Cause: each response of a stop announced that it closes the connection, also when a further request had been read; Node hands on such a request at once, and closes the connection after the first response that says so. Change: a response closes its connection only when no further request has arrived on it, and no request is handled after that response. Evidence: two new tests; before, statuses [200] instead of [200, 200], and the target got ['r1', 'r2'] instead of ['r1']; both pass, also when the later response is ready first. Why it works: either a request is known when the response before it is written, and the connection stays open for it, or it is not passed on.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -5,8 +5,11 @@
 interface CallerConnection {
   /** For each request without a complete response, what is to be done when it has one or the connection closes. */
   readonly pending: Map<http.IncomingMessage, () => void>
+  newest: http.IncomingMessage | undefined
   /** Bytes that were received when the last response was complete; undefined before the first. */
   bytesAtLastEnd: number | undefined
+  /** Whether a response has announced that it closes the connection. */
+  closing: boolean
 }
 
 /** Tracks the connections of callers. */
@@ -15,7 +18,7 @@
 
   /** Tracks a connection until it closes. */
   add (socket: net.Socket): void {
-    const connection: CallerConnection = { pending: new Map(), bytesAtLastEnd: undefined }
+    const connection: CallerConnection = { pending: new Map(), newest: undefined, bytesAtLastEnd: undefined, closing: false }
     this.connections.set(socket, connection)
     socket.once('close', () => {
       this.connections.delete(socket)
@@ -23,10 +26,14 @@
     })
   }
 
-  /** Notes a request; calls `onEnd` once, when the response was written completely or the connection has closed. */
-  begin (req: http.IncomingMessage, res: http.ServerResponse, onEnd: () => void): void {
+  /**
+   * Notes a request; calls `onEnd` once, when the response was written completely or the connection has closed. Returns
+   * false when an earlier response closes the connection: the request cannot have a response and must not be handled.
+   */
+  begin (req: http.IncomingMessage, res: http.ServerResponse, onEnd: () => void): boolean {
     const connection = this.connections.get(req.socket)
-    if (connection === undefined) return
+    if (connection === undefined || connection.closing) return false
+    connection.newest = req
     const end = (): void => {
       if (!connection.pending.delete(req)) return
       connection.bytesAtLastEnd = req.socket.bytesRead
@@ -35,6 +42,19 @@
     connection.pending.set(req, end)
     // A response that waits for an earlier one emits no event when its connection closes.
     res.once('close', end)
+    return true
+  }
+
+  /**
+   * Whether the response to `req` may close its connection: no further request has arrived on it. None is accepted on it
+   * from then on.
+   */
+  closeAfter (req: http.IncomingMessage): boolean {
+    const connection = this.connections.get(req.socket)
+    if (connection === undefined) return true
+    if (connection.newest !== req) return false
+    connection.closing = true
+    return true
   }
 
   /** Closes the connections whose responses were all written and on which no further request has begun to arrive. */
--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -114,13 +114,17 @@
   private async serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const callerLeft = new AbortController()
     let heldBytes = 0
-    this.unfinished++
-    this.connections.begin(req, res, () => {
+    const accepted = this.connections.begin(req, res, () => {
       this.unfinished--
       if (res.writableFinished) return
       this.noteUnfinished(req, res)
       callerLeft.abort()
     })
+    if (!accepted) {
+      req.resume()
+      return
+    }
+    this.unfinished++
     this.active++
     try {
       const overloaded = this.active > MAX_ACTIVE_REQUESTS || this.activeBodyBytes > MAX_ACTIVE_BODY_BYTES
@@ -142,7 +146,7 @@
   }
 
   private async handleRequest (req: http.IncomingMessage, res: http.ServerResponse, body: Uint8Array, signal: AbortSignal): Promise<void> {
-    const reply = new httpReply.HttpReply(res, () => this.closing)
+    const reply = new httpReply.HttpReply(res, () => this.closing && this.connections.closeAfter(req))
     const refusal = await this.deps.handler.handle(this.deps.protocol.decode(req), body, reply, signal)
     if (refusal !== undefined) this.refuse(req, res, refusal)
   }
@@ -191,7 +195,8 @@
     }
     const bodyPending = !req.complete
     const headers = ['content-length', '0', ...(retryAfterMs === undefined ? [] : this.deps.protocol.retryHeaders(retryAfterMs))]
-    res.writeHead(status, this.closing || bodyPending ? [...headers, 'connection', 'close'] : headers)
+    const closes = (bodyPending || this.closing) && this.connections.closeAfter(req)
+    res.writeHead(status, closes ? [...headers, 'connection', 'close'] : headers)
     res.end()
   }
 
--- a/test/gateway/stop.test.ts
+++ b/test/gateway/stop.test.ts
@@ -136,6 +136,49 @@
     chai.expect(caller.text.length).to.be.greaterThan(size)
   })
 
+  it('responds to both of two requests that arrived together, whichever target is faster', async () => {
+    const sent: string[] = []
+    await using gw = await start((req, res) => {
+      const id = String(req.headers['request-id'])
+      sent.push(id)
+      respondAfter(id === 'fast' ? 50 : 150)(req, res)
+    }, 2_000)
+    using first = gw.connect()
+    using second = gw.connect()
+    const stopped = stopAndExit(gw)
+    first.send('fast', 'b')
+    first.send('slow', 'b')
+    second.send('slow', 'b')
+    second.send('fast', 'b')
+    await Promise.all([first.closed, second.closed])
+    chai.expect([sent.length, first.statuses, second.statuses]).to.deep.equal([4, [200, 200], [200, 200]])
+    await stopped
+  })
+
+  it('does not pass on a request that follows the last response on its connection', async () => {
+    const sent: string[] = []
+    await using gw = await start((req, res) => {
+      sent.push(String(req.headers['request-id']))
+      const body = Buffer.alloc(15_000_000, 'x')
+      req.resume()
+      req.on('end', () => {
+        res.writeHead(200, { 'request-id': req.headers['request-id'] ?? '', 'response-stamp': 's1' })
+        res.end(body)
+      })
+    }, 2_000)
+    using caller = gw.connect()
+    const stopped = stopAndExit(gw)
+    caller.send('r1', 'b')
+    await new Promise((resolve) => { caller.socket.once('data', resolve) })
+    caller.socket.pause()
+    caller.send('r2', 'b')
+    await time.delay(timers, 100)
+    caller.socket.resume()
+    await caller.closed
+    chai.expect([sent, caller.statuses]).to.deep.equal([['r1'], [200]])
+    await stopped
+  })
+
   it('does not wait for the responses of a connection that has broken', async () => {
     await using gw = await start((req) => { req.resume() }, 4_000)
     using caller = gw.connect()
