Store all usage counts at the end of a process, also when a write is in progress

Seen: counts of the last 1.25 s were missing in the store after a planned stop when a periodic write was in progress at its end. Cause: a write that finds another in progress returns at once, and at the end no further one follows. Change: the last write waits for the one in progress. Evidence: the new test holds the writes up for 200 ms; before, the stored count was 1 instead of 2; now it passes.

--- a/src/duties/usage-ledger.ts
+++ b/src/duties/usage-ledger.ts
@@ -32,7 +32,7 @@
   readonly name = 'usage'
   private readonly held = new usageCounts.UsageCounts()
   private writtenPosition = 0
-  private writing = false
+  private writing: Promise<void> | undefined
   private version: external.ExpectedVersion = 'absent'
   private timer: Disposable | undefined
   /** Position that the relay has confirmed, and the position at the last check of the writes. */
@@ -95,6 +95,7 @@
   /** Stops the periodic writes and writes the remaining counts. */
   async [Symbol.asyncDispose] (): Promise<void> {
     this.timer?.[Symbol.dispose]()
+    await this.writing
     await this.write()
   }
 
@@ -106,18 +107,18 @@
   }
 
   private async write (): Promise<void> {
+    if (this.held.position === this.writtenPosition || this.writing !== undefined) return
+    this.writing = this.writeCounts().finally(() => { this.writing = undefined })
+    await this.writing
+  }
+
+  private async writeCounts (): Promise<void> {
     const { position } = this.held
-    if (position === this.writtenPosition || this.writing) return
-    this.writing = true
     this.held.dropOld(this.currentWindow())
-    try {
-      const key = COUNTS_PREFIX + this.deps.name
-      const put = await this.deps.store.put(key, JSON.stringify(this.allCounts), this.version)
-      if (put.ok) this.noteWritten(put.val, position)
-      else await this.recover(key, put.val)
-    } finally {
-      this.writing = false
-    }
+    const key = COUNTS_PREFIX + this.deps.name
+    const put = await this.deps.store.put(key, JSON.stringify(this.allCounts), this.version)
+    if (put.ok) this.noteWritten(put.val, position)
+    else await this.recover(key, put.val)
   }
 
   private noteWritten (object: external.StoredObject, position: number): void {
--- a/test/duties/duties.test.ts
+++ b/test/duties/duties.test.ts
@@ -137,6 +137,19 @@
     chai.expect(reported.length).to.be.greaterThan(1)
     chai.expect([...new Set(reported)]).to.deep.equal(['{"x":15}'])
   })
+
+  it('is stored in full at the end of a process also when a write is in progress then', async () => {
+    const virtual = new time.VirtualTime()
+    const store = new standin.MemoryStore(virtual)
+    const ledger = new duties.UsageLedger({ env: virtual.env(1), store, name: 'a', windowMs: WINDOW_MS, isRelay: () => true, log: log.SILENT_LOGGER })
+    ledger.start()
+    store.faults.delayMs = 200
+    ledger.countRequest('x')
+    await virtual.advance(1_300)
+    ledger.countRequest('x')
+    await Promise.all([ledger[Symbol.asyncDispose](), virtual.advance(1_000)])
+    chai.expect(store.peek('godwitpoint-usage/a')?.value).to.contain('"x":2')
+  })
 })
 
 const LIMITS: serving.OrderLimits = { min: 1, max: 4, deliveryMs: 4_000, preemptiblePrice: 0.22, domainPrices: new Map([['w', 1], ['c', 0.8], ['e', 1.25]]) }
