--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -5,6 +5,7 @@
 import type * as metrics from '../metrics/index.js'
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
+import * as callerConnections from './caller-connections.js'
 import * as httpReply from './http-reply.js'
 import type * as types from './types.js'
 
@@ -46,6 +47,7 @@
 /** Reads requests within the limits of the configuration and writes the responses. */
 export class HttpFrontend implements AsyncDisposable {
   private readonly server: http.Server
+  private readonly connections = new callerConnections.CallerConnections()
   private closing = false
   private active = 0
   private activeBodyBytes = 0
@@ -59,6 +61,9 @@
       noDelay: true
     }, (req, res) => { this.serve(req, res).catch((err: unknown) => this.failRequest(res, err)) })
     this.applyLimits(DEFAULT_LIMITS)
+    this.server.on('connection', (socket) => this.connections.add(socket))
+    // Node's own method, which close() calls, also closes connections whose response is still buffered.
+    this.server.closeIdleConnections = () => this.connections.closeIdle()
     this.server.on('clientError', (err, socket) => {
       this.deps.metrics.count('godwitpoint_client_errors_total')
       if (socket.writable && (err as NodeJS.ErrnoException).code !== 'ECONNRESET') socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
@@ -109,13 +114,17 @@
   private async serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const callerLeft = new AbortController()
     let heldBytes = 0
-    this.unfinished++
-    res.on('close', () => {
+    const accepted = this.connections.begin(req, res, () => {
       this.unfinished--
       if (res.writableFinished) return
       this.noteUnfinished(req, res)
       callerLeft.abort()
     })
+    if (!accepted) {
+      req.resume()
+      return
+    }
+    this.unfinished++
     this.active++
     try {
       const overloaded = this.active > MAX_ACTIVE_REQUESTS || this.activeBodyBytes > MAX_ACTIVE_BODY_BYTES
@@ -137,7 +146,7 @@
   }
 
   private async handleRequest (req: http.IncomingMessage, res: http.ServerResponse, body: Uint8Array, signal: AbortSignal): Promise<void> {
-    const reply = new httpReply.HttpReply(res, () => this.closing)
+    const reply = new httpReply.HttpReply(res, () => this.closing && this.connections.closeAfter(req))
     const refusal = await this.deps.handler.handle(this.deps.protocol.decode(req), body, reply, signal)
     if (refusal !== undefined) this.refuse(req, res, refusal)
   }
@@ -186,7 +195,8 @@
     }
     const bodyPending = !req.complete
     const headers = ['content-length', '0', ...(retryAfterMs === undefined ? [] : this.deps.protocol.retryHeaders(retryAfterMs))]
-    res.writeHead(status, this.closing || bodyPending ? [...headers, 'connection', 'close'] : headers)
+    const closes = (bodyPending || this.closing) && this.connections.closeAfter(req)
+    res.writeHead(status, closes ? [...headers, 'connection', 'close'] : headers)
     res.end()
   }
 
