--- a/test/support/gateway-process.ts
+++ b/test/support/gateway-process.ts
@@ -97,7 +97,7 @@
 
   /** Opens a connection of a caller that writes requests as text. */
   connect (): RawCaller {
-    return new RawCaller(net.connect(this.port, HOST))
+    return new RawCaller(net.connect(this.callerPort, HOST))
   }
 
   /** Log lines that contain the id of a request. */
