End the pause of a silent target with its next byte

What callers saw: nothing by itself; calls were kept from a sound target that had fallen silent for a second, and its place in the cost of targets stayed bad for many seconds. Cause: each attempt during the silence counted as a failure of its target, ten at once for ten calls in flight, and the pause ran its full time although the target sent again. Change: a pause for silence is kept apart from one for a target that cannot be reached or refuses. The next byte of the target ends it and takes back the failures that were counted since the target fell silent. Pauses of targets that cannot be reached or refuse stay: an open connection tells nothing about new ones. Slow targets are avoided by their load, which counts the calls still open there.

--- a/src/fleet/failure-record.ts
+++ b/src/fleet/failure-record.ts
@@ -22,6 +22,10 @@
   private attempts = 0
   private decayedAt = 0
   private pausedUntil = -Infinity
+  /** End of the pause for silence, which the next byte of the target ends earlier. */
+  private silentUntil = -Infinity
+  /** Part of `failures` and `attempts` that was counted since the target fell silent. */
+  private silences = 0
   private consecutivePauses = 0
 
   /** Counts an attempt that was sent at `sentAt`; times are ms on the monotonic clock. */
@@ -33,14 +37,27 @@
       return
     }
     this.failures++
+    if (outcome === 'silent') this.silences++
     if (outcome === 'refused') this.pausedUntil = Math.max(this.pausedUntil, now + REFUSED_PAUSE_MS)
     // An attempt that was sent before the last pause ended is no new sign that the target cannot be reached.
-    if ((outcome === 'silent' || outcome === 'unreachable') && sentAt >= this.pausedUntil) this.pause(now)
+    if (sentAt < this.pausedUntil || sentAt < this.silentUntil) return
+    if (outcome === 'silent') this.silentUntil = now + this.nextPauseMs()
+    else if (outcome === 'unreachable') this.pausedUntil = now + this.nextPauseMs()
+  }
+
+  /** Notes a byte of the target: its pause for silence ends, and attempts during the silence do not count as failures. */
+  noteByte (now: number): void {
+    if (this.silences === 0) return
+    this.decay(now)
+    this.failures = Math.max(0, this.failures - this.silences)
+    this.attempts = Math.max(0, this.attempts - this.silences)
+    this.silences = 0
+    this.silentUntil = -Infinity
   }
 
   /** Whether the target may be used: it is not paused. */
   isUsable (now: number): boolean {
-    return now >= this.pausedUntil
+    return now >= this.pausedUntil && now >= this.silentUntil
   }
 
   /** Share of recent attempts that failed, 0 to 1, as if two more attempts had succeeded. */
@@ -49,15 +66,17 @@
     return this.failures / (this.attempts + 2)
   }
 
-  private pause (now: number): void {
-    this.pausedUntil = now + Math.min(MAX_PAUSE_MS, INITIAL_PAUSE_MS * 2 ** this.consecutivePauses)
+  private nextPauseMs (): number {
+    const pauseMs = Math.min(MAX_PAUSE_MS, INITIAL_PAUSE_MS * 2 ** this.consecutivePauses)
     this.consecutivePauses++
+    return pauseMs
   }
 
   private decay (now: number): void {
     const decayFactor = 0.5 ** (Math.max(0, now - this.decayedAt) / HALF_LIFE_MS)
     this.failures *= decayFactor
     this.attempts *= decayFactor
+    this.silences *= decayFactor
     this.decayedAt = now
   }
 }
--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -31,8 +31,7 @@
   pendingPrefillTokens = 0
   /** This gateway's calls in flight. */
   running = 0
-  /** When the last byte arrived from the target, in ms on the monotonic clock. */
-  lastByteAt = -Infinity
+  private byteAt = -Infinity
   /** When a KV transfer from this target last failed, in ms on the monotonic clock. */
   kvTransferFailedAt = -Infinity
   /** Whether the target was removed from the fleet. */
@@ -49,6 +48,17 @@
 
   constructor (public record: serving.TargetRecord, private readonly known: FleetKnowledge) {}
 
+  /** When the last byte arrived from the target, in ms on the monotonic clock. */
+  get lastByteAt (): number {
+    return this.byteAt
+  }
+
+  /** Notes that a byte arrived from the target. */
+  noteByte (now: number): void {
+    this.byteAt = now
+    this.failures.noteByte(now)
+  }
+
   /** Whether new calls may be sent to the target. */
   acceptsCalls (now: number): boolean {
     return !this.hasLeft(now) && this.failures.isUsable(now)
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -204,7 +204,7 @@
 
   private noteByte (): void {
     this.lastByteAt = this.deps.env.clock.now()
-    this.spec.state.lastByteAt = this.lastByteAt
+    this.spec.state.noteByte(this.lastByteAt)
   }
 
   private watchStall (): void {
