Move what an attempt tells into a module of its own

No change of behaviour: the metrics, log lines and records of one attempt move from the forwarder to forward/attempt-recorder, and the fixture of its tests to test/support, so that other tests of calls can use it. Makes room for attempts beside each other.

--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -1,13 +1,12 @@
 /** Forwards calls: chooses targets, retries within the budget, and delivers one response. */
 import type * as calls from '../call/index.js'
 import * as errors from '../errors/index.js'
-import * as fleet from '../fleet/index.js'
-import type * as log from '../log/index.js'
-import type * as metrics from '../metrics/index.js'
+import type * as fleet from '../fleet/index.js'
 import type * as placement from '../placement/index.js'
 import type * as quarantine from '../quarantine/index.js'
 import type * as retry from '../retry/index.js'
 import * as attempt from './attempt.js'
+import * as attemptRecorder from './attempt-recorder.js'
 import * as callTimes from './call-times.js'
 import * as stallTimeouts from './stall-timeouts.js'
 import * as streamProgress from './stream-progress.js'
@@ -19,29 +18,15 @@
 const RETRY_AFTER_MIN_MS = 150
 const RETRY_AFTER_MAX_MS = 500
 
-/** Shortest prefill that counts as a sample of an engine's speed, in tokens. */
-const MIN_SPEED_SAMPLE_TOKENS = 1_000
-
-/** Part of the time of a prefill that does not depend on the prompt, in ms. */
-const PREFILL_OVERHEAD_MS = 12
-
-/** What distinguishes the sends of one placement. */
-type SendOptions = Pick<calls.SendPlan, 'prefillOnly' | 'kvSource' | 'fetchFrom'>
-
 /** Dependencies of a forwarder. */
-export interface ForwarderDeps extends attempt.AttemptDeps {
+export interface ForwarderDeps extends attempt.AttemptDeps, attemptRecorder.RecorderDeps {
   readonly placerFor: (call: calls.Call) => placement.Placer
   readonly budgetFor: (service: string) => retry.SharedRetryBudget
-  readonly fleet: fleet.Fleet
   readonly quarantine: Pick<quarantine.SegmentQuarantine, 'admit' | 'noteLost' | 'noteAnswered'>
   /** Age of the list of targets, in ms. */
   readonly listAgeMs: () => number
   /** Version of the configuration in force; undefined before the first. */
   readonly configVersion: () => number | undefined
-  readonly log: log.Logger
-  readonly metrics: metrics.Metrics
-  /** Closes the idle connections to an address. */
-  readonly dropIdleConnections: (address: string) => void
 }
 
 /** Forwards each call until its response has ended. */
@@ -61,6 +46,7 @@
   private readonly trials = new Set<string>()
   private readonly progress: streamProgress.StreamProgress
   private readonly times: callTimes.CallTimes
+  private readonly recorder: attemptRecorder.AttemptRecorder
   private readonly budget: retry.SharedRetryBudget
   /** Attempts whose request may have reached a target; they count against the retry budget and the route's `maxTargets`. */
   private countedAttempts = 0
@@ -75,6 +61,7 @@
   constructor (private readonly deps: ForwarderDeps, private readonly call: calls.Call, private readonly reply: calls.Reply, private readonly signal: AbortSignal) {
     this.progress = new streamProgress.StreamProgress(call, deps.metrics)
     this.times = new callTimes.CallTimes(call, deps.metrics)
+    this.recorder = new attemptRecorder.AttemptRecorder(deps, call, this.progress)
     this.budget = deps.budgetFor(call.service.name)
   }
 
@@ -213,85 +200,39 @@
     return true
   }
 
-  private async send (state: fleet.TargetState, choice: placement.Placement, options: SendOptions): Promise<attempt.AttemptResult> {
+  private async send (state: fleet.TargetState, choice: placement.Placement, options: attemptRecorder.SendOptions): Promise<attempt.AttemptResult> {
     const { call } = this
     const sentAt = this.now()
-    const listAgeMs = Math.round(this.deps.listAgeMs())
-    const missingMs = state.missingMs(sentAt)
     const plan: calls.SendPlan = { target: state.record, remainingMs: call.deadlineAt - sentAt, priority: choice.priority, resumeAfter: this.progress.lastId, ...options }
     const stream = call.route.streaming && options.prefillOnly !== true ? { reply: this.reply, progress: this.progress } : undefined
     const prefillTokens = options.kvSource === undefined ? choice.prefillTokens ?? 0 : 0
-    const tokensAhead = state.prefillTokensAhead()
-    const targetAttempt = new attempt.Attempt(this.deps, { call, plan, state, stream, prefillTokens, ...stallTimeouts.stallTimeouts(call, choice.expectedMs, options.prefillOnly === true) })
-    this.currentAttempt = targetAttempt
-    const result = await targetAttempt.run()
+    const sent: attemptRecorder.SentAttempt = {
+      attempt: new attempt.Attempt(this.deps, { call, plan, state, stream, prefillTokens, ...stallTimeouts.stallTimeouts(call, choice.expectedMs, options.prefillOnly === true) }),
+      state,
+      choice,
+      options,
+      sentAt,
+      listAgeMs: Math.round(this.deps.listAgeMs()),
+      missingMs: state.missingMs(sentAt),
+      prefillTokens,
+      tokensAhead: state.prefillTokensAhead()
+    }
+    this.currentAttempt = sent.attempt
+    const result = await sent.attempt.run()
     this.currentAttempt = undefined
-    const endedAt = this.now()
-    this.times.addAttempt(sentAt, endedAt)
-    this.deps.metrics.count('godwitpoint_placements_total', `phase="${phaseOf(options)}",in_time="${choice.priority < fleet.FIRST_DEFERRED_PRIORITY}"`)
-    this.deps.metrics.recordDuration('godwitpoint_target_list_age', listAgeMs)
-    if (missingMs !== undefined) this.deps.metrics.count('godwitpoint_sends_to_missing_targets_total')
-    this.deps.log.info({
-      id: call.id,
-      route: call.route.name,
-      target: state.record.id,
-      list_age_ms: listAgeMs,
-      missing_ms: missingMs,
-      write_ms: targetAttempt.writeMs,
-      phase: phaseOf(options),
-      priority: choice.priority,
-      waited_ms: Math.round(sentAt - call.arrivedAt),
-      expected_ms: Math.round(choice.expectedMs),
-      first_event_ms: targetAttempt.firstEventMs,
-      longest_gap_ms: stream === undefined ? undefined : Math.round(this.progress.longestGapMs),
-      ms: Math.round(endedAt - sentAt),
-      prefill_tokens: prefillTokens,
-      tokens_ahead: tokensAhead,
-      fetch_from: options.fetchFrom,
-      kind: result.kind,
-      status: result.kind === 'answered' ? result.head.status : undefined
-    }, 'attempt_ended')
-    this.recordOutcome(result, state, sentAt, options)
-    if (options.prefillOnly !== true) this.noteExecution(result, targetAttempt, state, sentAt)
-    if (options.fetchFrom === undefined) this.recordPrefill({ tokens: prefillTokens, tokensAhead, ms: prefillMsOf(result, targetAttempt, endedAt - sentAt) }, state)
+    this.times.addAttempt(sentAt, this.now())
+    if (options.prefillOnly !== true) this.trials.clear()
+    this.recorder.noteEnded(sent, result)
     return result
   }
 
-  // A prefill writes no response, so it neither clears a segment nor makes it suspect.
-  private noteExecution (result: attempt.AttemptResult, { firstEventAt }: attempt.Attempt, state: fleet.TargetState, sentAt: number): void {
-    const { prompt } = this.call
-    if (prompt === undefined) return
-    this.trials.clear()
-    if (result.kind === 'streamed' || (result.kind === 'answered' && isSuccess(result.head.status))) this.deps.quarantine.noteAnswered(prompt)
-    else if (result.kind === 'failed' && result.cause === 'disconnected') this.deps.quarantine.noteLost({ prompt, target: state.record, sentAt, firstEventAt })
-  }
-
-  // Only prompts that are long enough, and that did not wait for long behind others, show how fast an engine is.
-  private recordPrefill (prefill: { readonly tokens: number, readonly tokensAhead: number, readonly ms: number | undefined }, state: fleet.TargetState): void {
-    const { tokens, tokensAhead, ms } = prefill
-    if (ms === undefined || tokens < MIN_SPEED_SAMPLE_TOKENS || tokensAhead > tokens) return
-    state.notePrefill(tokens + tokensAhead, Math.max(1, ms - PREFILL_OVERHEAD_MS), this.now())
-  }
-
-  private recordOutcome (result: attempt.AttemptResult, state: fleet.TargetState, sentAt: number, options: { kvSource?: calls.KvSource | undefined }): void {
-    const now = this.now()
-    if (result.kind === 'streamed' || (result.kind === 'answered' && result.head.status < 500)) state.failures.record('ok', sentAt, now)
-    else if (result.kind === 'answered') state.failures.record('error', sentAt, now)
-    else if (result.kind === 'failed') state.failures.record(result.cause === 'target_stalled' ? 'silent' : 'broken', sentAt, now)
-    else if (result.kind === 'not_run' && result.message === 'wrong_target') this.deps.fleet.noteMisaddressed(state, sentAt)
-    else if (result.kind === 'not_run' && options.kvSource === undefined) state.failures.record(result.written ? 'refused' : 'unreachable', sentAt, now)
-    if ((result.kind === 'failed' && result.cause === 'target_stalled') || (result.kind === 'not_run' && !result.written)) this.deps.dropIdleConnections(state.record.address)
-  }
-
   private notePrefilled (state: fleet.TargetState): void {
     if (this.call.prompt !== undefined) state.cache.addPrompt(this.call.prompt)
   }
 
   private noteFailure (result: attempt.AttemptResult, state: fleet.TargetState, phase: 'read' | 'run'): void {
-    const message = result.kind === 'answered' ? `status ${result.head.status}` : result.kind === 'streamed' ? '' : result.kind === 'stopped' ? this.endedBy ?? 'stopped' : result.message
-    this.lastMessage = message
-    this.deps.metrics.count('godwitpoint_attempt_failures_total', `kind="${result.kind}",phase="${phase}"`)
-    this.deps.log.info({ id: this.call.id, target: state.record.id, phase, kind: result.kind, reason: message, silent_ms: result.kind === 'failed' ? result.silentMs : undefined, target_silent_ms: result.kind === 'failed' ? result.targetSilentMs : undefined, resumed_after: this.progress.lastId, segments: result.kind === 'failed' ? sharedSegmentIds(this.call) : undefined }, 'attempt_failed')
+    this.lastMessage = result.kind === 'answered' ? `status ${result.head.status}` : result.kind === 'streamed' ? '' : result.kind === 'stopped' ? this.endedBy ?? 'stopped' : result.message
+    this.recorder.noteFailure(result, state, phase, this.lastMessage)
   }
 
   private releaseKvHandle (kvSource: calls.KvSource): void {
@@ -356,26 +297,6 @@
   }
 }
 
-/** Ids of the prompt's segments that other calls may share, all but the last, separated by commas; undefined without a prompt. */
-function sharedSegmentIds (call: calls.Call): string | undefined {
-  return call.prompt?.segments.slice(0, -1).map((segment) => segment.id).join(',')
-}
-
-/** Time until a prompt was prefilled, in ms; undefined when the attempt does not show it. */
-function prefillMsOf (result: attempt.AttemptResult, targetAttempt: attempt.Attempt, ms: number): number | undefined {
-  if (result.kind === 'streamed') return targetAttempt.firstEventMs
-  return result.kind === 'answered' && result.head.status === 200 ? ms : undefined
-}
-
-function phaseOf (options: SendOptions): 'read' | 'run_handed_over' | 'run' {
-  if (options.prefillOnly === true) return 'read'
-  return options.kvSource === undefined ? 'run' : 'run_handed_over'
-}
-
-function isSuccess (status: number): boolean {
-  return status >= 200 && status < 300
-}
-
 // Callers take these statuses to mean that the call was not executed. A target's response with such a status and
 // without an explicit report that the call was not executed does not guarantee that, so it must not be relayed.
 function impliesNotExecuted (status: number): boolean {
--- a/test/forward/forwarder.test.ts
+++ b/test/forward/forwarder.test.ts
@@ -1,56 +1,12 @@
 import * as chai from 'chai'
-import type * as calls from '../../src/call/index.js'
 import * as errors from '../../src/errors/index.js'
 import * as forward from '../../src/forward/index.js'
-import * as log from '../../src/log/index.js'
-import * as metrics from '../../src/metrics/index.js'
-import * as placement from '../../src/placement/index.js'
-import * as quarantine from '../../src/quarantine/index.js'
-import * as retry from '../../src/retry/index.js'
-import * as time from '../../src/time/index.js'
-import * as platformTarget from '../../platform/target-protocol.js'
 import * as build from '../support/gateway-builders.js'
+import { respond, setUp } from '../support/forward-fixture.js'
 
 const STREAM = build.aRoute({ streaming: true, idempotency: 'resumable', callerIdleTimeoutMs: 2_000 })
 const NON_IDEMPOTENT = build.aRoute({ idempotency: 'non_idempotent', maxTargets: 2 })
 
-function setUp (slack = 100) {
-  const virtual = new time.VirtualTime()
-  const env = virtual.env(1)
-  const upstream = new build.ScriptedUpstream()
-  const fleet = build.aFleet(virtual, [build.aTarget('a'), build.aTarget('b')])
-  const executed: string[] = []
-  const budget = new retry.SharedRetryBudget(virtual, { ratio: 0.2, slack, windowMs: 10_000 }, () => 1)
-  const counters = new metrics.Metrics()
-  const placer = new placement.PlainPlacer(fleet, env, 'd1', () => 1)
-  const forwarder = new forward.Forwarder({
-    env,
-    upstream,
-    protocol: new platformTarget.HttpTargetProtocol(),
-    onExecution: (call) => executed.push(call.id),
-    placerFor: () => placer,
-    budgetFor: () => budget,
-    fleet,
-    quarantine: new quarantine.SegmentQuarantine({ clock: virtual, selfName: 'g', gateways: () => ['g'], log: log.SILENT_LOGGER }),
-    listAgeMs: () => 0,
-    configVersion: () => 1,
-    log: log.SILENT_LOGGER,
-    metrics: counters,
-    dropIdleConnections: () => {}
-  })
-  const reply = new build.RecordedReply()
-  const callerLeft = new AbortController()
-  let outcome: errors.Refusal | undefined | 'open' = 'open'
-  const start = (call: calls.Call): void => { forwarder.forward(call, reply, callerLeft.signal).then((refusal) => { outcome = refusal }, (err: unknown) => { throw err }) }
-  return { virtual, upstream, fleet, counters, reply, callerLeft, executed, start, outcome: () => outcome }
-}
-
-function respond (send: build.RecordedSend, status: number, body: string, headers: Record<string, string> = {}): void {
-  send.handler.onHead(status, { 'request-id': 'c1', ...headers })
-  if (body !== '') send.handler.onData(Buffer.from(body))
-  send.handler.onEnd()
-}
-
 describe('Forwarder', () => {
   it('retries after a 500 and delivers the response of the second target unchanged', async () => {
     const fixture = setUp()
@@ -216,7 +172,7 @@
   })
 
   it('sends no more retries than the budget allows', async () => {
-    const fixture = setUp(0)
+    const fixture = setUp({ slack: 0 })
     fixture.start(build.aCall())
     fixture.upstream.sends[0]!.handler.onError({ written: true, message: 'reset' })
     await fixture.virtual.advance(1)
