Let a silent attempt go on, with a second one beside it

Cause: an attempt was aborted at its stall timeout, before it was known whether another one could take its place. Ruled out: longer timeouts alone; they keep calls to dead targets waiting and still end sound ones. Change: silence ends no attempt by itself; it goes on until the deadline, or until the caller leaves. At the present timeouts a second attempt is sent beside it (forward/attempt-race), within maxTargets and the retry budget, at most two at a time. The first complete response below 500 or first event of a stream wins; the other attempt is aborted at once, writes nothing, and is no failure of its target. Where two targets must not go on with one call (a stream that has begun or that the caller resumes, a prefill before a KV transfer) the silent attempt is aborted first, and only after 1.5 s and when the next placement and its retry are reserved. The trial of a quarantined segment gets no second attempt. Non-idempotent calls keep their single attempt. A target that is silent for the first timeout is recorded at that moment, once for each attempt and silence.

--- a/src/forward/attempt-recorder.ts
+++ b/src/forward/attempt-recorder.ts
@@ -3,10 +3,10 @@
 import * as fleet from '../fleet/index.js'
 import type * as log from '../log/index.js'
 import type * as metrics from '../metrics/index.js'
-import type * as placement from '../placement/index.js'
 import type * as quarantine from '../quarantine/index.js'
 import type * as time from '../time/index.js'
 import type * as attempt from './attempt.js'
+import type * as attemptRace from './attempt-race.js'
 import type * as streamProgress from './stream-progress.js'
 
 /** Shortest prefill that counts as a sample of an engine's speed, in tokens. */
@@ -32,8 +32,8 @@
 /** An attempt, as known when it was sent; times in ms on the monotonic clock. */
 export interface SentAttempt {
   readonly attempt: attempt.Attempt
+  readonly run: attemptRace.Run
   readonly state: fleet.TargetState
-  readonly choice: placement.Placement
   readonly options: SendOptions
   readonly sentAt: number
   /** Age of the list of targets, and time for which the target had been missing from it, in ms. */
@@ -58,13 +58,19 @@
     if (sent.options.fetchFrom === undefined) this.recordPrefill(sent, prefillMsOf(result, sent.attempt, endedAt - sent.sentAt))
   }
 
+  /** Records that a target has sent no byte for the stall timeout of an attempt, which goes on. */
+  noteTargetSilent (state: fleet.TargetState, sentAt: number): void {
+    state.failures.record('silent', sentAt, this.deps.env.clock.now())
+    this.deps.dropIdleConnections(state.record.address)
+  }
+
   /** Counts and logs an attempt after which the call goes on elsewhere or ends; `message` is the reason. */
   noteFailure (result: attempt.AttemptResult, state: fleet.TargetState, phase: 'read' | 'run', message: string): void {
     this.deps.metrics.count('godwitpoint_attempt_failures_total', `kind="${result.kind}",phase="${phase}"`)
     this.deps.log.info({ id: this.call.id, target: state.record.id, phase, kind: result.kind, reason: message, silent_ms: result.kind === 'failed' ? result.silentMs : undefined, target_silent_ms: result.kind === 'failed' ? result.targetSilentMs : undefined, resumed_after: this.progress.lastId, segments: result.kind === 'failed' ? sharedSegmentIds(this.call) : undefined }, 'attempt_failed')
   }
 
-  private countPlacement ({ choice, options, listAgeMs, missingMs }: SentAttempt): void {
+  private countPlacement ({ run: { choice }, options, listAgeMs, missingMs }: SentAttempt): void {
     const { metrics } = this.deps
     metrics.count('godwitpoint_placements_total', `phase="${phaseOf(options)}",in_time="${choice.priority < fleet.FIRST_DEFERRED_PRIORITY}"`)
     metrics.recordDuration('godwitpoint_target_list_age', listAgeMs)
@@ -72,7 +78,7 @@
   }
 
   private logEnd (sent: SentAttempt, result: attempt.AttemptResult, endedAt: number): void {
-    const { attempt: ended, choice, options, sentAt } = sent
+    const { attempt: ended, run, options, sentAt } = sent
     const { call, progress } = this
     this.deps.log.info({
       id: call.id,
@@ -82,9 +88,10 @@
       missing_ms: sent.missingMs,
       write_ms: ended.writeMs,
       phase: phaseOf(options),
-      priority: choice.priority,
+      priority: run.choice.priority,
+      beside: run.beside ? true : undefined,
       waited_ms: Math.round(sentAt - call.arrivedAt),
-      expected_ms: Math.round(choice.expectedMs),
+      expected_ms: Math.round(run.choice.expectedMs),
       first_event_ms: ended.firstEventMs,
       longest_gap_ms: call.route.streaming && options.prefillOnly !== true ? Math.round(progress.longestGapMs) : undefined,
       ms: Math.round(endedAt - sentAt),
@@ -92,17 +99,19 @@
       tokens_ahead: sent.tokensAhead,
       fetch_from: options.fetchFrom,
       kind: result.kind,
+      stopped_by: run.stoppedBy,
       status: result.kind === 'answered' ? result.head.status : undefined
     }, 'attempt_ended')
   }
 
+  // The silence of a target was recorded when its stall timeout had passed.
   private recordOutcome ({ state, sentAt, options }: SentAttempt, result: attempt.AttemptResult, now: number): void {
     if (result.kind === 'streamed' || (result.kind === 'answered' && result.head.status < 500)) state.failures.record('ok', sentAt, now)
     else if (result.kind === 'answered') state.failures.record('error', sentAt, now)
-    else if (result.kind === 'failed') state.failures.record(result.cause === 'target_stalled' ? 'silent' : 'broken', sentAt, now)
+    else if (result.kind === 'failed' && result.cause !== 'target_stalled') state.failures.record('broken', sentAt, now)
     else if (result.kind === 'not_run' && result.message === 'wrong_target') this.deps.fleet.noteMisaddressed(state, sentAt)
     else if (result.kind === 'not_run' && options.kvSource === undefined) state.failures.record(result.written ? 'refused' : 'unreachable', sentAt, now)
-    if ((result.kind === 'failed' && result.cause === 'target_stalled') || (result.kind === 'not_run' && !result.written)) this.deps.dropIdleConnections(state.record.address)
+    if (result.kind === 'not_run' && !result.written) this.deps.dropIdleConnections(state.record.address)
   }
 
   // A prefill writes no response, so it neither clears a segment nor makes it suspect.
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -4,11 +4,15 @@
 import type * as time from '../time/index.js'
 import type * as upstream from '../upstream/index.js'
 import * as eventSplitter from './event-splitter.js'
+import * as stallTimeouts from './stall-timeouts.js'
 import type * as streamProgress from './stream-progress.js'
 
 /** Largest response that is buffered until it is complete, in bytes. */
 const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
 
+/** Interval at which a stalled attempt is reported again, in ms; meanwhile another target may have become usable. */
+const STALL_REPORT_INTERVAL_MS = 250
+
 /** Why an attempt failed: no byte of the target or of the response for too long, the connection ended, or an unusable response. */
 export type FailureCause = 'target_stalled' | 'response_stalled' | 'disconnected' | 'malformed'
 
@@ -45,10 +49,21 @@
   readonly stream?: { readonly reply: calls.Reply, readonly progress: streamProgress.StreamProgress } | undefined
   /** Prompt tokens that the target is expected to prefill. */
   readonly prefillTokens: number
-  /** Time without any byte from the target, over all its calls, after which the attempt is given up, in ms. */
-  readonly targetStallMs: number
-  /** Time without a byte of this call's response after which the attempt is given up, in ms. */
-  readonly callStallMs: number
+  /** When the attempt is reported as stalled. It goes on until it is given up or stopped. */
+  readonly stall: stallTimeouts.StallTimeouts
+  /** Whether no other target may work on the call at the same time, from the start; a stream that has begun is exclusive too. */
+  readonly exclusive: boolean
+  readonly events: AttemptEvents
+}
+
+/** What an attempt reports while it runs. */
+export interface AttemptEvents {
+  /** The target has sent no byte for its stall timeout, over all its calls; reported once for each silence. */
+  readonly onTargetSilent: () => void
+  /** The attempt is stalled; reported again at intervals while it stays so. */
+  readonly onStalled: () => void
+  /** The first event of a stream has arrived and is about to be relayed. */
+  readonly onFirstEvent: () => void
 }
 
 /** Sends a call and processes the response to its end. */
@@ -62,14 +77,18 @@
   private lastByteAt: number
   /** Tokens of this attempt in the prefill backlog; -1 once they are removed from it. */
   private prefillTokens: number
+  /** Last byte of the target before the silence that was reported last, in ms. */
+  private reportedSilenceSince: number | undefined
   private stallTimer: Disposable | undefined
   private finish: ((result: AttemptResult) => void) | undefined
+  private readonly replacementTimeouts: stallTimeouts.StallTimeouts
   private readonly splitter = new eventSplitter.EventSplitter()
 
   constructor (private readonly deps: AttemptDeps, private readonly spec: AttemptSpec) {
     this.sentAt = deps.env.clock.now()
     this.lastByteAt = this.sentAt
     this.prefillTokens = spec.prefillTokens
+    this.replacementTimeouts = stallTimeouts.replacementTimeouts(spec.stall)
   }
 
   /** Runs the attempt until the response has ended, failed or was aborted. */
@@ -81,7 +100,7 @@
     try {
       return await new Promise<AttemptResult>((resolve) => {
         this.finish = resolve
-        this.watchStall()
+        this.watchSilence()
         const headers = this.deps.protocol.encodeHeaders(call, plan)
         const nonIdempotent = call.route.idempotency === 'non_idempotent'
         this.activeRequest = this.deps.upstream.send({ address: state.record.address, method: call.method, path: call.path, headers, body: call.body, nonIdempotent }, this)
@@ -105,11 +124,33 @@
   /** Time from the send until the request was written, in ms, rounded; undefined before it. */
   writeMs: number | undefined
 
+  /** Whether no other target may work on the call while this attempt runs. */
+  get exclusive (): boolean {
+    return this.spec.exclusive || this.firstEventMs !== undefined
+  }
+
+  /** Whether the target, or the response, has been silent for longer than its stall timeout. */
+  get isStalled (): boolean {
+    return this.deps.env.clock.now() > this.stallAt(this.timeouts)
+  }
+
+  /** Whether the silence is longer than that of a sound target, so that the attempt may be aborted for another one. */
+  get isReplaceable (): boolean {
+    return this.deps.env.clock.now() > this.stallAt(this.replacementTimeouts)
+  }
+
   /** Aborts the attempt and closes its connection, so that the target stops working on it. */
   stop (): void {
     this.abortWith({ kind: 'stopped' })
   }
 
+  /** Aborts a stalled attempt as failed. */
+  giveUp (): void {
+    const { targetStallMs } = this.replacementTimeouts
+    if (this.deps.env.clock.now() > this.targetByteAt + targetStallMs) this.abortWith(this.failure('target stalled', 'target_stalled'))
+    else this.abortWith(this.failure('response stalled', 'response_stalled'))
+  }
+
   // The target may have left while the request waited for a connection.
   mayWrite (): boolean {
     const now = this.deps.env.clock.now()
@@ -190,6 +231,7 @@
     if (this.prefillTokens < 0) return
     this.endPrefill()
     this.firstEventMs = Math.round(this.lastByteAt - this.sentAt)
+    this.spec.events.onFirstEvent()
     this.deps.onExecution(this.spec.call)
   }
 
@@ -207,24 +249,36 @@
     this.spec.state.noteByte(this.lastByteAt)
   }
 
-  private watchStall (): void {
-    const { targetStallMs, callStallMs, state } = this.spec
-    if (!Number.isFinite(targetStallMs)) return
+  private watchSilence (): void {
+    const { stall, events } = this.spec
+    if (!Number.isFinite(stall.targetStallMs) || this.finish === undefined) return
     const now = this.deps.env.clock.now()
-    const targetStallAt = Math.max(this.lastByteAt, state.lastByteAt) + targetStallMs
-    const stallAt = Math.min(targetStallAt, this.lastByteAt + callStallMs)
-    if (now < stallAt) {
-      this.stallTimer = this.deps.env.timers.after(stallAt - now + 1, () => this.watchStall())
-      return
+    const silentAt = this.targetByteAt + stall.targetStallMs
+    if (now > silentAt && this.reportedSilenceSince !== this.targetByteAt) {
+      this.reportedSilenceSince = this.targetByteAt
+      events.onTargetSilent()
     }
-    if (now >= targetStallAt) this.abortWith(this.failure('target stalled', 'target_stalled'))
-    else this.abortWith(this.failure('response stalled', 'response_stalled'))
+    if (this.isStalled) events.onStalled()
+    const nextAt = [silentAt, this.stallAt(this.timeouts)].filter((at) => at >= now)
+    this.stallTimer = this.deps.env.timers.after(nextAt.length === 0 ? STALL_REPORT_INTERVAL_MS : Math.min(...nextAt) - now + 1, () => this.watchSilence())
+  }
+
+  private stallAt ({ targetStallMs, callStallMs }: stallTimeouts.StallTimeouts): number {
+    return Math.min(this.targetByteAt + targetStallMs, this.lastByteAt + callStallMs)
+  }
+
+  private get timeouts (): stallTimeouts.StallTimeouts {
+    return this.exclusive ? this.replacementTimeouts : this.spec.stall
+  }
+
+  /** When the target last sent a byte of any call, or when this attempt was sent or read on if that is later; in ms. */
+  private get targetByteAt (): number {
+    return Math.max(this.lastByteAt, this.spec.state.lastByteAt)
   }
 
   private failure (message: string, cause: FailureCause): AttemptResult {
     const now = this.deps.env.clock.now()
-    const targetByteAt = Math.max(this.sentAt, this.spec.state.lastByteAt)
-    return { kind: 'failed', message, cause, silentMs: Math.round(now - this.lastByteAt), targetSilentMs: Math.round(now - targetByteAt) }
+    return { kind: 'failed', message, cause, silentMs: Math.round(now - this.lastByteAt), targetSilentMs: Math.round(now - this.targetByteAt) }
   }
 
   private abortWith (result: AttemptResult): void {
--- a/src/forward/call-times.ts
+++ b/src/forward/call-times.ts
@@ -5,18 +5,27 @@
 /** Times one call and records it in the histograms of its service, in ms. */
 export class CallTimes {
   private readonly label: string
+  /** Time with at least one attempt in flight, in ms. */
   private atTargetsMs = 0
-  private sent = false
+  private attempts = 0
+  /** Since when at least one attempt has been running; undefined before the first. */
+  private busySince: number | undefined
 
   constructor (private readonly call: calls.Call, private readonly metrics: metrics.Metrics) {
     this.label = `service="${call.service.name}"`
   }
 
-  /** Adds an attempt from `sentAt` to `endedAt`, on the monotonic clock. */
-  addAttempt (sentAt: number, endedAt: number): void {
-    if (!this.sent) this.metrics.recordDuration('godwitpoint_queue_wait', sentAt - this.call.arrivedAt, this.label)
-    this.sent = true
-    this.atTargetsMs += endedAt - sentAt
+  /** Notes that an attempt is sent; times are ms on the monotonic clock. */
+  beginAttempt (now: number): void {
+    if (this.busySince === undefined) this.metrics.recordDuration('godwitpoint_queue_wait', now - this.call.arrivedAt, this.label)
+    if (this.attempts === 0) this.busySince = now
+    this.attempts++
+  }
+
+  /** Notes that an attempt has ended. */
+  endAttempt (now: number): void {
+    this.attempts--
+    if (this.attempts === 0) this.atTargetsMs += now - this.busySince!
   }
 
   /** Records the total time of the call, and the part of it that was not spent at targets. */
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -6,6 +6,7 @@
 import type * as quarantine from '../quarantine/index.js'
 import type * as retry from '../retry/index.js'
 import * as attempt from './attempt.js'
+import * as attemptRace from './attempt-race.js'
 import * as attemptRecorder from './attempt-recorder.js'
 import * as callTimes from './call-times.js'
 import * as stallTimeouts from './stall-timeouts.js'
@@ -39,6 +40,11 @@
   }
 }
 
+/** Why a call is not sent to a target now; `lateMs` by how much the first event would be too late. */
+class NoPlacement {
+  constructor (readonly reason: errors.Refusal | errors.RefusalReason, readonly lateMs = 0) {}
+}
+
 /** State of one call over all its attempts. */
 class ForwardedCall {
   private readonly triedTargets = new Set<string>()
@@ -48,10 +54,10 @@
   private readonly times: callTimes.CallTimes
   private readonly recorder: attemptRecorder.AttemptRecorder
   private readonly budget: retry.SharedRetryBudget
+  private readonly race: attemptRace.AttemptRace
   /** Attempts whose request may have reached a target; they count against the retry budget and the route's `maxTargets`. */
   private countedAttempts = 0
   private mayHaveExecuted = false
-  private currentAttempt: attempt.Attempt | undefined
   private endedBy: 'deadline' | 'caller_left' | undefined
   private lastResponse: { head: calls.ResponseHead, body: Uint8Array } | undefined
   private lastMessage = ''
@@ -63,6 +69,7 @@
     this.times = new callTimes.CallTimes(call, deps.metrics)
     this.recorder = new attemptRecorder.AttemptRecorder(deps, call, this.progress)
     this.budget = deps.budgetFor(call.service.name)
+    this.race = new attemptRace.AttemptRace({ metrics: deps.metrics, service: call.service.name, execute: async (run) => await this.attemptAt(run), reserve: (beside) => this.reserve(beside) })
   }
 
   async run (): Promise<errors.Refusal | undefined> {
@@ -82,17 +89,34 @@
 
   private async attemptUntilDone (): Promise<errors.Refusal | undefined> {
     for (;;) {
-      const stopReason = this.reasonToStop()
-      if (stopReason !== undefined) return this.giveUp(stopReason)
-      const choice = this.chooseTarget()
-      if (choice === undefined) return this.giveUp('no_target')
-      const lateMs = choice.expectedMs - this.firstEventTimeoutMs
-      if (lateMs > 0) return this.giveUp('deadline_unreachable', lateMs)
-      if (!this.mayAttempt()) return this.giveUp(this.mayHaveExecuted ? 'target_failed' : 'retry_budget_exhausted')
-      if (await this.attemptAt(choice)) return undefined
+      const next = this.nextPlacement()
+      if (next instanceof NoPlacement) return this.giveUp(next.reason, next.lateMs)
+      if (await this.race.run(next)) return undefined
     }
   }
 
+  /**
+   * Where the call is sent next; takes a retry from the budget if the send is one. A send beside another one has no prefill
+   * at a further target, as two targets must not go on with one call.
+   */
+  private nextPlacement (beside = false): placement.Placement | NoPlacement {
+    const stopReason = this.reasonToStop()
+    if (stopReason !== undefined) return new NoPlacement(stopReason)
+    const choice = this.chooseTarget()
+    if (choice === undefined || (beside && choice.prefillTarget !== undefined)) return new NoPlacement('no_target')
+    const lateMs = choice.expectedMs - this.firstEventTimeoutMs
+    if (lateMs > 0) return new NoPlacement('deadline_unreachable', lateMs)
+    if (!this.mayAttempt()) return new NoPlacement(this.mayHaveExecuted ? 'target_failed' : 'retry_budget_exhausted')
+    return choice
+  }
+
+  /** Where the call may be sent while an attempt is silent. A call with a quarantined segment is tried at one target only. */
+  private reserve (beside: boolean): placement.Placement | undefined {
+    if (this.trials.size > 0 || !this.attemptsLeft || this.budget.remaining < 1) return undefined
+    const next = this.nextPlacement(beside)
+    return next instanceof NoPlacement ? undefined : next
+  }
+
   private reasonToStop (): errors.Refusal | errors.RefusalReason | undefined {
     if (this.endedBy === 'deadline') return 'deadline_exceeded'
     if (this.endedBy === 'caller_left') return 'caller_disconnected'
@@ -108,10 +132,11 @@
 
   private chooseTarget (): placement.Placement | undefined {
     const placer = this.deps.placerFor(this.call)
-    const choice = placer.place(this.call, this.triedTargets)
+    const busyTargets = this.race.targetIds
+    const choice = placer.place(this.call, new Set([...this.triedTargets, ...busyTargets]))
     if (choice !== undefined || this.triedTargets.size === 0 || !this.mayRetry) return choice
     // With no other target left, one that failed before may be able to serve the call now.
-    return placer.place(this.call, new Set())
+    return placer.place(this.call, new Set(busyTargets))
   }
 
   /** Time within which the first event must arrive: until the deadline or the idle timeout of the caller, in ms. */
@@ -125,19 +150,29 @@
     return this.call.route.idempotency !== 'non_idempotent' || !this.mayHaveExecuted
   }
 
+  /** Attempts that count, those in flight included. */
+  private get usedAttempts (): number {
+    return this.countedAttempts + this.race.size
+  }
+
+  private get attemptsLeft (): boolean {
+    return this.usedAttempts < this.call.route.maxTargets
+  }
+
   private mayAttempt (): boolean {
-    if (this.countedAttempts === 0) return true
-    if (this.countedAttempts >= this.call.route.maxTargets) return false
+    if (this.usedAttempts === 0) return true
+    if (!this.attemptsLeft) return false
     if (!this.budget.tryRetry()) return false
     this.deps.metrics.count('godwitpoint_repeats_total', `service="${this.call.service.name}"`)
     return true
   }
 
   /** One attempt, with a prefill at another target when serving is split; true once a response was delivered. */
-  private async attemptAt (choice: placement.Placement): Promise<boolean> {
+  private async attemptAt (run: attemptRace.Run): Promise<boolean> {
+    const { choice } = run
     const { prefillTarget } = choice
-    if (prefillTarget === undefined || this.progress.lastId !== undefined) return await this.executeAt(choice.target, choice, undefined)
-    const handle = await this.prefillAt(prefillTarget, choice)
+    if (prefillTarget === undefined || this.progress.lastId !== undefined) return await this.executeAt(run, choice.target, undefined)
+    const handle = await this.prefillAt(run, prefillTarget)
     if (handle === undefined) return false
     const kvSource = { address: prefillTarget.record.address, handle }
     const target = choice.target.acceptsCalls(this.now()) ? choice.target : undefined
@@ -145,11 +180,11 @@
       this.releaseKvHandle(kvSource)
       return false
     }
-    return await this.executeAt(target, choice, kvSource, prefillTarget)
+    return await this.executeAt(run, target, kvSource, prefillTarget)
   }
 
-  private async prefillAt (target: fleet.TargetState, choice: placement.Placement): Promise<string | undefined> {
-    const result = await this.send(target, choice, { prefillOnly: true, fetchFrom: choice.fetchFrom?.record.address })
+  private async prefillAt (run: attemptRace.Run, target: fleet.TargetState): Promise<string | undefined> {
+    const result = await this.send(run, target, { prefillOnly: true, fetchFrom: run.choice.fetchFrom?.record.address })
     const handle = result.kind === 'answered' && result.head.status === 200 ? this.deps.protocol.decodeKvHandle(result.body) : undefined
     const firstPrefill = handle !== undefined && !this.prefillAccepted
     if (firstPrefill) this.prefillAccepted = true
@@ -158,30 +193,33 @@
       this.notePrefilled(target)
       return handle
     }
-    this.triedTargets.add(target.record.id)
     this.noteFailure(result, target, 'read')
     return undefined
   }
 
-  private async executeAt (target: fleet.TargetState, choice: placement.Placement, kvSource: calls.KvSource | undefined, prefillTarget?: fleet.TargetState): Promise<boolean> {
-    const result = await this.send(target, choice, kvSource === undefined ? { fetchFrom: choice.fetchFrom?.record.address } : { kvSource })
+  private async executeAt (run: attemptRace.Run, target: fleet.TargetState, kvSource: calls.KvSource | undefined, prefillTarget?: fleet.TargetState): Promise<boolean> {
+    const result = await this.send(run, target, kvSource === undefined ? { fetchFrom: run.choice.fetchFrom?.record.address } : { kvSource })
     if (result.kind === 'not_run') {
       if (result.written) this.countedAttempts++
       if (prefillTarget !== undefined && result.written) prefillTarget.kvTransferFailedAt = this.now()
       if (kvSource !== undefined && !result.written) this.releaseKvHandle(kvSource)
-      this.triedTargets.add(target.record.id)
       this.noteFailure(result, target, 'run')
       return false
     }
     this.countedAttempts++
+    if (run.stoppedBy === 'other_won') return false
     if (result.kind === 'streamed') {
       this.notePrefilled(target)
       this.reply.end()
       return true
     }
     this.mayHaveExecuted = true
-    if (result.kind === 'answered') return this.handleResponse(result, target)
-    this.triedTargets.add(target.record.id)
+    if (result.kind === 'answered' && (this.race.size === 1 || isUsable(result.head.status))) {
+      const delivered = this.handleResponse(result, target)
+      if (delivered) this.race.win(run)
+      return delivered
+    }
+    if (result.kind === 'answered') this.lastResponse = result
     this.noteFailure(result, target, 'run')
     if (!this.mayRetry && this.endedBy === undefined) this.countedAttempts = Infinity
     return false
@@ -200,16 +238,14 @@
     return true
   }
 
-  private async send (state: fleet.TargetState, choice: placement.Placement, options: attemptRecorder.SendOptions): Promise<attempt.AttemptResult> {
-    const { call } = this
+  private async send (run: attemptRace.Run, state: fleet.TargetState, options: attemptRecorder.SendOptions): Promise<attempt.AttemptResult> {
+    const { choice } = run
     const sentAt = this.now()
-    const plan: calls.SendPlan = { target: state.record, remainingMs: call.deadlineAt - sentAt, priority: choice.priority, resumeAfter: this.progress.lastId, ...options }
-    const stream = call.route.streaming && options.prefillOnly !== true ? { reply: this.reply, progress: this.progress } : undefined
     const prefillTokens = options.kvSource === undefined ? choice.prefillTokens ?? 0 : 0
     const sent: attemptRecorder.SentAttempt = {
-      attempt: new attempt.Attempt(this.deps, { call, plan, state, stream, prefillTokens, ...stallTimeouts.stallTimeouts(call, choice.expectedMs, options.prefillOnly === true) }),
+      attempt: this.createAttempt(run, state, options, prefillTokens),
+      run,
       state,
-      choice,
       options,
       sentAt,
       listAgeMs: Math.round(this.deps.listAgeMs()),
@@ -217,20 +253,43 @@
       prefillTokens,
       tokensAhead: state.prefillTokensAhead()
     }
-    this.currentAttempt = sent.attempt
+    this.times.beginAttempt(sentAt)
+    run.attempt = sent.attempt
     const result = await sent.attempt.run()
-    this.currentAttempt = undefined
-    this.times.addAttempt(sentAt, this.now())
+    run.attempt = undefined
+    this.times.endAttempt(this.now())
     if (options.prefillOnly !== true) this.trials.clear()
     this.recorder.noteEnded(sent, result)
     return result
   }
 
+  private createAttempt (run: attemptRace.Run, state: fleet.TargetState, options: attemptRecorder.SendOptions, prefillTokens: number): attempt.Attempt {
+    const { call, progress } = this
+    const { choice } = run
+    const sentAt = this.now()
+    const prefillOnly = options.prefillOnly === true
+    return new attempt.Attempt(this.deps, {
+      call,
+      plan: { target: state.record, remainingMs: call.deadlineAt - sentAt, priority: choice.priority, resumeAfter: progress.lastId, ...options },
+      state,
+      stream: call.route.streaming && !prefillOnly ? { reply: this.reply, progress } : undefined,
+      prefillTokens,
+      stall: stallTimeouts.stallTimeouts(call, choice.expectedMs, prefillOnly),
+      exclusive: progress.lastId !== undefined || choice.prefillTarget !== undefined,
+      events: {
+        onTargetSilent: () => this.recorder.noteTargetSilent(state, sentAt),
+        onStalled: () => this.race.noteStalled(run),
+        onFirstEvent: () => this.race.win(run)
+      }
+    })
+  }
+
   private notePrefilled (state: fleet.TargetState): void {
     if (this.call.prompt !== undefined) state.cache.addPrompt(this.call.prompt)
   }
 
   private noteFailure (result: attempt.AttemptResult, state: fleet.TargetState, phase: 'read' | 'run'): void {
+    this.triedTargets.add(state.record.id)
     this.lastMessage = result.kind === 'answered' ? `status ${result.head.status}` : result.kind === 'streamed' ? '' : result.kind === 'stopped' ? this.endedBy ?? 'stopped' : result.message
     this.recorder.noteFailure(result, state, phase, this.lastMessage)
   }
@@ -243,7 +302,7 @@
 
   private endEarly (reason: 'deadline' | 'caller_left'): void {
     this.endedBy ??= reason
-    this.currentAttempt?.stop()
+    this.race.stop(reason)
   }
 
   private deliver (response: { head: calls.ResponseHead, body: Uint8Array }): void {
@@ -297,6 +356,11 @@
   }
 }
 
+/** Whether a response with this status ends a call while another attempt is running. */
+function isUsable (status: number): boolean {
+  return status < 500 && !impliesNotExecuted(status)
+}
+
 // Callers take these statuses to mean that the call was not executed. A target's response with such a status and
 // without an explicit report that the call was not executed does not guarantee that, so it must not be relayed.
 function impliesNotExecuted (status: number): boolean {
--- a/src/forward/stall-timeouts.ts
+++ b/src/forward/stall-timeouts.ts
@@ -7,6 +7,9 @@
 const STREAM_TARGET_STALL_MS = 700
 const STREAM_CALL_STALL_MS = 1_200
 
+/** Shortest stall timeout of an attempt that must be aborted before another is sent, in ms: a sound target may be silent for a second. */
+const REPLACEMENT_STALL_MS = 1_500
+
 /** Actual times may exceed the expected time by this factor. */
 const EXPECTED_TIME_FACTOR = 2
 
@@ -22,3 +25,8 @@
   if (!call.route.streaming) return { targetStallMs: PLAIN_TARGET_STALL_MS, callStallMs: Math.max(PLAIN_CALL_STALL_MS, expectedMs * EXPECTED_TIME_FACTOR) }
   return { targetStallMs: STREAM_TARGET_STALL_MS + expectedMs, callStallMs: STREAM_CALL_STALL_MS + expectedMs * EXPECTED_TIME_FACTOR }
 }
+
+/** Stall timeouts of an attempt that must be aborted before another is sent. */
+export function replacementTimeouts ({ targetStallMs, callStallMs }: StallTimeouts): StallTimeouts {
+  return { targetStallMs: Math.max(REPLACEMENT_STALL_MS, targetStallMs), callStallMs: Math.max(REPLACEMENT_STALL_MS, callStallMs) }
+}
