Do not take a caller that reads slowly for a silent target

What callers saw: a stream to a caller that reads slowly was stopped and resumed at another target, or broken off before that. Cause: while output to the caller is buffered, nothing is read from the target, and the stall timeout of the attempt went on. Change: an attempt is not stalled while reading is paused; its silence counts from the moment at which reading goes on. Evidence: the new test fails without the rule ("expected [ true, false ] to deeply equal [ false ]") and passes with it.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -79,6 +79,8 @@
   private prefillTokens: number
   /** Last byte of the target before the silence that was reported last, in ms. */
   private reportedSilenceSince: number | undefined
+  /** Whether reading waits for the caller, who reads more slowly than the target sends. */
+  private paused = false
   private stallTimer: Disposable | undefined
   private finish: ((result: AttemptResult) => void) | undefined
   private readonly replacementTimeouts: stallTimeouts.StallTimeouts
@@ -131,12 +133,12 @@
 
   /** Whether the target, or the response, has been silent for longer than its stall timeout. */
   get isStalled (): boolean {
-    return this.deps.env.clock.now() > this.stallAt(this.timeouts)
+    return !this.paused && this.deps.env.clock.now() > this.stallAt(this.timeouts)
   }
 
   /** Whether the silence is longer than that of a sound target, so that the attempt may be aborted for another one. */
   get isReplaceable (): boolean {
-    return this.deps.env.clock.now() > this.stallAt(this.replacementTimeouts)
+    return !this.paused && this.deps.env.clock.now() > this.stallAt(this.replacementTimeouts)
   }
 
   /** Aborts the attempt and closes its connection, so that the target stops working on it. */
@@ -198,8 +200,18 @@
     if (!reply.started) reply.start(this.responseHead!)
     progress.noteRelayed(batch.lastId, this.lastByteAt)
     if (reply.write(batch.bytes)) return
+    this.pauseUntilDrained(reply)
+  }
+
+  // The target is not silent while nothing is read from it.
+  private pauseUntilDrained (reply: calls.Reply): void {
+    this.paused = true
     this.activeRequest?.pause()
-    reply.onDrain(() => this.activeRequest?.resume())
+    reply.onDrain(() => {
+      this.paused = false
+      this.lastByteAt = this.deps.env.clock.now()
+      this.activeRequest?.resume()
+    })
   }
 
   private bufferChunk (chunk: Uint8Array): void {
@@ -254,7 +266,7 @@
     if (!Number.isFinite(stall.targetStallMs) || this.finish === undefined) return
     const now = this.deps.env.clock.now()
     const silentAt = this.targetByteAt + stall.targetStallMs
-    if (now > silentAt && this.reportedSilenceSince !== this.targetByteAt) {
+    if (now > silentAt && !this.paused && this.reportedSilenceSince !== this.targetByteAt) {
       this.reportedSilenceSince = this.targetByteAt
       events.onTargetSilent()
     }
--- a/test/forward/silence.test.ts
+++ b/test/forward/silence.test.ts
@@ -331,6 +331,18 @@
     await fixture.virtual.advance(1_600)
     chai.expect([fixture.upstream.sends.map((send) => send.aborted), fixture.reply.state]).to.deep.equal([[false], 'open'])
   })
+
+  it('is not resumed elsewhere because the caller reads slowly', async () => {
+    const fixture = setUp()
+    let drained = (): void => {}
+    Object.assign(fixture.reply, { write: () => false, onDrain: (fn: () => void) => { drained = fn } })
+    fixture.start(build.aCall({ route: STREAM }))
+    beginStream(fixture.upstream.sends[0]!, 1)
+    await fixture.virtual.advance(3_000)
+    drained()
+    await fixture.virtual.advance(1_400)
+    chai.expect(fixture.upstream.sends.map((send) => send.aborted)).to.deep.equal([false])
+  })
 })
 
 describe('A silent target', () => {
