--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -1,13 +1,13 @@
 /** Forwards calls: chooses targets, retries within the budget, and delivers one response. */
 import type * as calls from '../call/index.js'
 import * as errors from '../errors/index.js'
-import * as fleet from '../fleet/index.js'
-import type * as log from '../log/index.js'
-import type * as metrics from '../metrics/index.js'
+import type * as fleet from '../fleet/index.js'
 import type * as placement from '../placement/index.js'
 import type * as quarantine from '../quarantine/index.js'
 import type * as retry from '../retry/index.js'
 import * as attempt from './attempt.js'
+import * as attemptRace from './attempt-race.js'
+import * as attemptRecorder from './attempt-recorder.js'
 import * as callTimes from './call-times.js'
 import * as stallTimeouts from './stall-timeouts.js'
 import * as streamProgress from './stream-progress.js'
@@ -19,29 +19,15 @@
 const RETRY_AFTER_MIN_MS = 150
 const RETRY_AFTER_MAX_MS = 500
 
-/** Shortest prefill that counts as a sample of an engine's speed, in tokens. */
-const MIN_SPEED_SAMPLE_TOKENS = 1_000
-
-/** Part of the time of a prefill that does not depend on the prompt, in ms. */
-const PREFILL_OVERHEAD_MS = 12
-
-/** What distinguishes the sends of one placement. */
-type SendOptions = Pick<calls.SendPlan, 'prefillOnly' | 'kvSource' | 'fetchFrom'>
-
 /** Dependencies of a forwarder. */
-export interface ForwarderDeps extends attempt.AttemptDeps {
+export interface ForwarderDeps extends attempt.AttemptDeps, attemptRecorder.RecorderDeps {
   readonly placerFor: (call: calls.Call) => placement.Placer
   readonly budgetFor: (service: string) => retry.SharedRetryBudget
-  readonly fleet: fleet.Fleet
   readonly quarantine: Pick<quarantine.SegmentQuarantine, 'admit' | 'noteLost' | 'noteAnswered'>
   /** Age of the list of targets, in ms. */
   readonly listAgeMs: () => number
   /** Version of the configuration in force; undefined before the first. */
   readonly configVersion: () => number | undefined
-  readonly log: log.Logger
-  readonly metrics: metrics.Metrics
-  /** Closes the idle connections to an address. */
-  readonly dropIdleConnections: (address: string) => void
 }
 
 /** Forwards each call until its response has ended. */
@@ -54,6 +40,11 @@
   }
 }
 
+/** Why a call is not sent to a target now; `lateMs` by how much the first event would be too late. */
+class NoPlacement {
+  constructor (readonly reason: errors.Refusal | errors.RefusalReason, readonly lateMs = 0) {}
+}
+
 /** State of one call over all its attempts. */
 class ForwardedCall {
   private readonly triedTargets = new Set<string>()
@@ -61,11 +52,12 @@
   private readonly trials = new Set<string>()
   private readonly progress: streamProgress.StreamProgress
   private readonly times: callTimes.CallTimes
+  private readonly recorder: attemptRecorder.AttemptRecorder
   private readonly budget: retry.SharedRetryBudget
+  private readonly race: attemptRace.AttemptRace
   /** Attempts whose request may have reached a target; they count against the retry budget and the route's `maxTargets`. */
   private countedAttempts = 0
   private mayHaveExecuted = false
-  private currentAttempt: attempt.Attempt | undefined
   private endedBy: 'deadline' | 'caller_left' | undefined
   private lastResponse: { head: calls.ResponseHead, body: Uint8Array } | undefined
   private lastMessage = ''
@@ -75,7 +67,9 @@
   constructor (private readonly deps: ForwarderDeps, private readonly call: calls.Call, private readonly reply: calls.Reply, private readonly signal: AbortSignal) {
     this.progress = new streamProgress.StreamProgress(call, deps.metrics)
     this.times = new callTimes.CallTimes(call, deps.metrics)
+    this.recorder = new attemptRecorder.AttemptRecorder(deps, call, this.progress)
     this.budget = deps.budgetFor(call.service.name)
+    this.race = new attemptRace.AttemptRace({ metrics: deps.metrics, service: call.service.name, execute: async (run) => await this.attemptAt(run), reserve: (beside) => this.reserve(beside) })
   }
 
   async run (): Promise<errors.Refusal | undefined> {
@@ -95,17 +89,34 @@
 
   private async attemptUntilDone (): Promise<errors.Refusal | undefined> {
     for (;;) {
-      const stopReason = this.reasonToStop()
-      if (stopReason !== undefined) return this.giveUp(stopReason)
-      const choice = this.chooseTarget()
-      if (choice === undefined) return this.giveUp('no_target')
-      const lateMs = choice.expectedMs - this.firstEventTimeoutMs
-      if (lateMs > 0) return this.giveUp('deadline_unreachable', lateMs)
-      if (!this.mayAttempt()) return this.giveUp(this.mayHaveExecuted ? 'target_failed' : 'retry_budget_exhausted')
-      if (await this.attemptAt(choice)) return undefined
+      const next = this.nextPlacement()
+      if (next instanceof NoPlacement) return this.giveUp(next.reason, next.lateMs)
+      if (await this.race.run(next)) return undefined
     }
   }
 
+  /**
+   * Where the call is sent next; takes a retry from the budget if the send is one. A send beside another one has no prefill
+   * at a further target, as two targets must not go on with one call.
+   */
+  private nextPlacement (beside = false): placement.Placement | NoPlacement {
+    const stopReason = this.reasonToStop()
+    if (stopReason !== undefined) return new NoPlacement(stopReason)
+    const choice = this.chooseTarget()
+    if (choice === undefined || (beside && choice.prefillTarget !== undefined)) return new NoPlacement('no_target')
+    const lateMs = choice.expectedMs - this.firstEventTimeoutMs
+    if (lateMs > 0) return new NoPlacement('deadline_unreachable', lateMs)
+    if (!this.mayAttempt()) return new NoPlacement(this.mayHaveExecuted ? 'target_failed' : 'retry_budget_exhausted')
+    return choice
+  }
+
+  /** Where the call may be sent while an attempt is silent. A call with a quarantined segment is tried at one target only. */
+  private reserve (beside: boolean): placement.Placement | undefined {
+    if (this.trials.size > 0 || !this.attemptsLeft || this.budget.remaining < 1) return undefined
+    const next = this.nextPlacement(beside)
+    return next instanceof NoPlacement ? undefined : next
+  }
+
   private reasonToStop (): errors.Refusal | errors.RefusalReason | undefined {
     if (this.endedBy === 'deadline') return 'deadline_exceeded'
     if (this.endedBy === 'caller_left') return 'caller_disconnected'
@@ -123,10 +134,11 @@
 
   private chooseTarget (): placement.Placement | undefined {
     const placer = this.deps.placerFor(this.call)
-    const choice = placer.place(this.call, this.triedTargets)
+    const busyTargets = this.race.targetIds
+    const choice = placer.place(this.call, new Set([...this.triedTargets, ...busyTargets]))
     if (choice !== undefined || this.triedTargets.size === 0 || !this.mayRetry) return choice
     // With no other target left, one that failed before may be able to serve the call now.
-    return placer.place(this.call, new Set())
+    return placer.place(this.call, new Set(busyTargets))
   }
 
   /** Time within which the first event must arrive: until the deadline or the idle timeout of the caller, in ms. */
@@ -140,19 +152,29 @@
     return this.call.route.idempotency !== 'non_idempotent' || !this.mayHaveExecuted
   }
 
+  /** Attempts that count, those in flight included. */
+  private get usedAttempts (): number {
+    return this.countedAttempts + this.race.size
+  }
+
+  private get attemptsLeft (): boolean {
+    return this.usedAttempts < this.call.route.maxTargets
+  }
+
   private mayAttempt (): boolean {
-    if (this.countedAttempts === 0) return true
-    if (this.countedAttempts >= this.call.route.maxTargets) return false
+    if (this.usedAttempts === 0) return true
+    if (!this.attemptsLeft) return false
     if (!this.budget.tryRetry()) return false
     this.deps.metrics.count('godwitpoint_repeats_total', `service="${this.call.service.name}"`)
     return true
   }
 
   /** One attempt, with a prefill at another target when serving is split; true once a response was delivered. */
-  private async attemptAt (choice: placement.Placement): Promise<boolean> {
+  private async attemptAt (run: attemptRace.Run): Promise<boolean> {
+    const { choice } = run
     const { prefillTarget } = choice
-    if (prefillTarget === undefined || this.progress.lastId !== undefined) return await this.executeAt(choice.target, choice, undefined)
-    const handle = await this.prefillAt(prefillTarget, choice)
+    if (prefillTarget === undefined || this.progress.lastId !== undefined) return await this.executeAt(run, choice.target, undefined)
+    const handle = await this.prefillAt(run, prefillTarget)
     if (handle === undefined) return false
     const kvSource = { address: prefillTarget.record.address, handle }
     const target = choice.target.acceptsCalls(this.now()) ? choice.target : undefined
@@ -160,11 +182,11 @@
       this.releaseKvHandle(kvSource)
       return false
     }
-    return await this.executeAt(target, choice, kvSource, prefillTarget)
+    return await this.executeAt(run, target, kvSource, prefillTarget)
   }
 
-  private async prefillAt (target: fleet.TargetState, choice: placement.Placement): Promise<string | undefined> {
-    const result = await this.send(target, choice, { prefillOnly: true, fetchFrom: choice.fetchFrom?.record.address })
+  private async prefillAt (run: attemptRace.Run, target: fleet.TargetState): Promise<string | undefined> {
+    const result = await this.send(run, target, { prefillOnly: true, fetchFrom: run.choice.fetchFrom?.record.address })
     const handle = result.kind === 'answered' && result.head.status === 200 ? this.deps.protocol.decodeKvHandle(result.body) : undefined
     const firstPrefill = handle !== undefined && !this.prefillAccepted
     if (firstPrefill) this.prefillAccepted = true
@@ -173,30 +195,33 @@
       this.notePrefilled(target)
       return handle
     }
-    this.triedTargets.add(target.record.id)
     this.noteFailure(result, target, 'read')
     return undefined
   }
 
-  private async executeAt (target: fleet.TargetState, choice: placement.Placement, kvSource: calls.KvSource | undefined, prefillTarget?: fleet.TargetState): Promise<boolean> {
-    const result = await this.send(target, choice, kvSource === undefined ? { fetchFrom: choice.fetchFrom?.record.address } : { kvSource })
+  private async executeAt (run: attemptRace.Run, target: fleet.TargetState, kvSource: calls.KvSource | undefined, prefillTarget?: fleet.TargetState): Promise<boolean> {
+    const result = await this.send(run, target, kvSource === undefined ? { fetchFrom: run.choice.fetchFrom?.record.address } : { kvSource })
     if (result.kind === 'not_run') {
       if (result.written) this.countedAttempts++
       if (prefillTarget !== undefined && result.written) prefillTarget.kvTransferFailedAt = this.now()
       if (kvSource !== undefined && !result.written) this.releaseKvHandle(kvSource)
-      this.triedTargets.add(target.record.id)
       this.noteFailure(result, target, 'run')
       return false
     }
     this.countedAttempts++
+    if (run.stoppedBy === 'other_won') return false
     if (result.kind === 'streamed') {
       this.notePrefilled(target)
       this.reply.end()
       return true
     }
     this.mayHaveExecuted = true
-    if (result.kind === 'answered') return this.handleResponse(result, target)
-    this.triedTargets.add(target.record.id)
+    if (result.kind === 'answered' && (this.race.size === 1 || isUsable(result.head.status))) {
+      const delivered = this.handleResponse(result, target)
+      if (delivered) this.race.win(run)
+      return delivered
+    }
+    if (result.kind === 'answered') this.lastResponse = result
     this.noteFailure(result, target, 'run')
     if (!this.mayRetry && this.endedBy === undefined) this.countedAttempts = Infinity
     return false
@@ -205,7 +230,6 @@
   private handleResponse (result: Extract<attempt.AttemptResult, { kind: 'answered' }>, target: fleet.TargetState): boolean {
     // A stream that has begun takes only events; it shows that the request is sound, so another target may be able to resume it.
     if (this.reply.started) {
-      this.triedTargets.add(target.record.id)
       this.noteFailure(result, target, 'run')
       return false
     }
@@ -221,74 +245,50 @@
     return true
   }
 
-  private async send (state: fleet.TargetState, choice: placement.Placement, options: SendOptions): Promise<attempt.AttemptResult> {
-    const { call } = this
+  private async send (run: attemptRace.Run, state: fleet.TargetState, options: attemptRecorder.SendOptions): Promise<attempt.AttemptResult> {
+    const { choice } = run
     const sentAt = this.now()
-    const listAgeMs = Math.round(this.deps.listAgeMs())
-    const missingMs = state.missingMs(sentAt)
-    const plan: calls.SendPlan = { target: state.record, remainingMs: call.deadlineAt - sentAt, priority: choice.priority, resumeAfter: this.progress.lastId, ...options }
-    const stream = call.route.streaming && options.prefillOnly !== true ? { reply: this.reply, progress: this.progress } : undefined
     const prefillTokens = options.kvSource === undefined ? choice.prefillTokens ?? 0 : 0
-    const tokensAhead = state.prefillTokensAhead()
-    const targetAttempt = new attempt.Attempt(this.deps, { call, plan, state, stream, prefillTokens, ...stallTimeouts.stallTimeouts(call, choice.expectedMs, options.prefillOnly === true) })
-    this.currentAttempt = targetAttempt
-    const result = await targetAttempt.run()
-    this.currentAttempt = undefined
-    const endedAt = this.now()
-    this.times.addAttempt(sentAt, endedAt)
-    this.deps.metrics.count('godwitpoint_placements_total', `phase="${phaseOf(options)}",in_time="${choice.priority < fleet.FIRST_DEFERRED_PRIORITY}"`)
-    this.deps.metrics.recordDuration('godwitpoint_target_list_age', listAgeMs)
-    if (missingMs !== undefined) this.deps.metrics.count('godwitpoint_sends_to_missing_targets_total')
-    this.deps.log.info({
-      id: call.id,
-      route: call.route.name,
-      target: state.record.id,
-      list_age_ms: listAgeMs,
-      missing_ms: missingMs,
-      write_ms: targetAttempt.writeMs,
-      phase: phaseOf(options),
-      priority: choice.priority,
-      waited_ms: Math.round(sentAt - call.arrivedAt),
-      expected_ms: Math.round(choice.expectedMs),
-      first_event_ms: targetAttempt.firstEventMs,
-      longest_gap_ms: stream === undefined ? undefined : Math.round(this.progress.longestGapMs),
-      ms: Math.round(endedAt - sentAt),
-      prefill_tokens: prefillTokens,
-      tokens_ahead: tokensAhead,
-      fetch_from: options.fetchFrom,
-      kind: result.kind,
-      status: result.kind === 'answered' ? result.head.status : undefined
-    }, 'attempt_ended')
-    this.recordOutcome(result, state, sentAt, options)
-    if (options.prefillOnly !== true) this.noteExecution(result, targetAttempt, state, sentAt)
-    if (options.fetchFrom === undefined) this.recordPrefill({ tokens: prefillTokens, tokensAhead, ms: prefillMsOf(result, targetAttempt, endedAt - sentAt) }, state)
+    const sent: attemptRecorder.SentAttempt = {
+      attempt: this.createAttempt(run, state, options, prefillTokens),
+      run,
+      state,
+      options,
+      sentAt,
+      listAgeMs: Math.round(this.deps.listAgeMs()),
+      missingMs: state.missingMs(sentAt),
+      prefillTokens,
+      tokensAhead: state.prefillTokensAhead()
+    }
+    this.times.beginAttempt(sentAt)
+    run.attempt = sent.attempt
+    const result = await sent.attempt.run()
+    run.attempt = undefined
+    this.times.endAttempt(this.now())
+    if (options.prefillOnly !== true) this.trials.clear()
+    this.recorder.noteEnded(sent, result)
     return result
   }
 
-  // A prefill writes no response, so it neither clears a segment nor makes it suspect.
-  private noteExecution (result: attempt.AttemptResult, { firstEventAt }: attempt.Attempt, state: fleet.TargetState, sentAt: number): void {
-    const { prompt } = this.call
-    if (prompt === undefined) return
-    this.trials.clear()
-    if (result.kind === 'streamed' || (result.kind === 'answered' && isSuccess(result.head.status))) this.deps.quarantine.noteAnswered(prompt)
-    else if (result.kind === 'failed' && result.cause === 'disconnected') this.deps.quarantine.noteLost({ prompt, target: state.record, sentAt, firstEventAt })
-  }
-
-  // Only prompts that are long enough, and that did not wait for long behind others, show how fast an engine is.
-  private recordPrefill (prefill: { readonly tokens: number, readonly tokensAhead: number, readonly ms: number | undefined }, state: fleet.TargetState): void {
-    const { tokens, tokensAhead, ms } = prefill
-    if (ms === undefined || tokens < MIN_SPEED_SAMPLE_TOKENS || tokensAhead > tokens) return
-    state.notePrefill(tokens + tokensAhead, Math.max(1, ms - PREFILL_OVERHEAD_MS), this.now())
-  }
-
-  private recordOutcome (result: attempt.AttemptResult, state: fleet.TargetState, sentAt: number, options: { kvSource?: calls.KvSource | undefined }): void {
-    const now = this.now()
-    if (result.kind === 'streamed' || (result.kind === 'answered' && result.head.status < 500)) state.failures.record('ok', sentAt, now)
-    else if (result.kind === 'answered') state.failures.record('error', sentAt, now)
-    else if (result.kind === 'failed') state.failures.record(result.cause === 'target_stalled' ? 'silent' : 'broken', sentAt, now)
-    else if (result.kind === 'not_run' && result.message === 'wrong_target') this.deps.fleet.noteMisaddressed(state, sentAt)
-    else if (result.kind === 'not_run' && options.kvSource === undefined) state.failures.record(result.written ? 'refused' : 'unreachable', sentAt, now)
-    if ((result.kind === 'failed' && result.cause === 'target_stalled') || (result.kind === 'not_run' && !result.written)) this.deps.dropIdleConnections(state.record.address)
+  private createAttempt (run: attemptRace.Run, state: fleet.TargetState, options: attemptRecorder.SendOptions, prefillTokens: number): attempt.Attempt {
+    const { call, progress } = this
+    const { choice } = run
+    const sentAt = this.now()
+    const prefillOnly = options.prefillOnly === true
+    return new attempt.Attempt(this.deps, {
+      call,
+      plan: { target: state.record, remainingMs: call.deadlineAt - sentAt, priority: choice.priority, resumeAfter: progress.lastId, ...options },
+      state,
+      stream: call.route.streaming && !prefillOnly ? { reply: this.reply, progress } : undefined,
+      prefillTokens,
+      stall: stallTimeouts.stallTimeouts(call, choice.expectedMs, prefillOnly),
+      exclusive: progress.lastId !== undefined || choice.prefillTarget !== undefined,
+      events: {
+        onTargetSilent: () => this.recorder.noteTargetSilent(state, sentAt),
+        onStalled: () => this.race.noteStalled(run),
+        onFirstEvent: () => this.race.win(run)
+      }
+    })
   }
 
   private notePrefilled (state: fleet.TargetState): void {
@@ -296,10 +296,9 @@
   }
 
   private noteFailure (result: attempt.AttemptResult, state: fleet.TargetState, phase: 'read' | 'run'): void {
-    const message = result.kind === 'answered' ? `status ${result.head.status}` : result.kind === 'streamed' ? '' : result.kind === 'stopped' ? this.endedBy ?? 'stopped' : result.message
-    this.lastMessage = message
-    this.deps.metrics.count('godwitpoint_attempt_failures_total', `kind="${result.kind}",phase="${phase}"`)
-    this.deps.log.info({ id: this.call.id, target: state.record.id, phase, kind: result.kind, reason: message, silent_ms: result.kind === 'failed' ? result.silentMs : undefined, target_silent_ms: result.kind === 'failed' ? result.targetSilentMs : undefined, resumed_after: this.progress.lastId, segments: result.kind === 'failed' ? sharedSegmentIds(this.call) : undefined }, 'attempt_failed')
+    this.triedTargets.add(state.record.id)
+    this.lastMessage = result.kind === 'answered' ? `status ${result.head.status}` : result.kind === 'streamed' ? '' : result.kind === 'stopped' ? this.endedBy ?? 'stopped' : result.message
+    this.recorder.noteFailure(result, state, phase, this.lastMessage)
   }
 
   private releaseKvHandle (kvSource: calls.KvSource): void {
@@ -310,7 +309,7 @@
 
   private endEarly (reason: 'deadline' | 'caller_left'): void {
     this.endedBy ??= reason
-    this.currentAttempt?.stop()
+    this.race.stop(reason)
   }
 
   private deliver (response: { head: calls.ResponseHead, body: Uint8Array }): void {
@@ -364,24 +363,9 @@
   }
 }
 
-/** Ids of the prompt's segments that other calls may share, all but the last, separated by commas; undefined without a prompt. */
-function sharedSegmentIds (call: calls.Call): string | undefined {
-  return call.prompt?.segments.slice(0, -1).map((segment) => segment.id).join(',')
-}
-
-/** Time until a prompt was prefilled, in ms; undefined when the attempt does not show it. */
-function prefillMsOf (result: attempt.AttemptResult, targetAttempt: attempt.Attempt, ms: number): number | undefined {
-  if (result.kind === 'streamed') return targetAttempt.firstEventMs
-  return result.kind === 'answered' && result.head.status === 200 ? ms : undefined
-}
-
-function phaseOf (options: SendOptions): 'read' | 'run_handed_over' | 'run' {
-  if (options.prefillOnly === true) return 'read'
-  return options.kvSource === undefined ? 'run' : 'run_handed_over'
-}
-
-function isSuccess (status: number): boolean {
-  return status >= 200 && status < 300
+/** Whether a response with this status ends a call while another attempt is running. */
+function isUsable (status: number): boolean {
+  return status < 500 && !impliesNotExecuted(status)
 }
 
 // Callers take these statuses to mean that the call was not executed. A target's response with such a status and
--- a/test/forward/begun-stream.test.ts
+++ b/test/forward/begun-stream.test.ts
@@ -4,10 +4,16 @@
 import * as build from '../support/gateway-builders.js'
 import * as fixtures from '../support/forwarder-fixture.js'
 
-const { STREAM, begin, respond, setUp } = fixtures
+const { STREAM, respond, setUp } = fixtures
+
+/** Sends the head of a stream and one event. */
+function begin (send: build.RecordedSend): void {
+  send.handler.onHead(200, { 'request-id': 'c1' })
+  send.handler.onData(Buffer.from('id: 1\ndata: a\n\n'))
+}
 
 /** Resets a stream after its first event, and completes it with a second one if it is resumed. */
-async function breakAndResume (fixture: ReturnType<typeof setUp>): Promise<void> {
+async function breakAndResume (fixture: fixtures.ForwarderFixture): Promise<void> {
   fixture.upstream.sends[0]!.handler.onError({ written: true, message: 'reset' })
   await fixture.virtual.advance(1)
   if (fixture.upstream.sends.length > 1) respond(fixture.upstream.sends[1]!, 200, 'id: 2\ndata: b\n\n')
@@ -15,7 +21,7 @@
 }
 
 /** Resets a stream after its first event, and answers the attempt that resumes it. */
-async function breakOffAndAnswer (fixture: ReturnType<typeof setUp>, route: calls.Call['route'], status: number, body: string, headers: Record<string, string> = {}): Promise<void> {
+async function breakOffAndAnswer (fixture: fixtures.ForwarderFixture, route: calls.Call['route'], status: number, body: string, headers: Record<string, string> = {}): Promise<void> {
   fixture.start(build.aCall({ route }))
   begin(fixture.upstream.sends[0]!)
   fixture.upstream.sends[0]!.handler.onError({ written: true, message: 'reset' })
@@ -123,12 +129,12 @@
       const fixture = setUp()
       await breakOffAndAnswer(fixture, STREAM, status, body)
       chai.expect([fixture.upstream.sends.length, fixture.reply.status, fixture.reply.state, fixture.reply.text]).to.deep.equal([2, 200, 'aborted', 'id: 1\ndata: a\n\n'])
-      chai.expect(fixture.lines.join('')).to.match(new RegExp(`event=stream_broken_off .*reason=target_failed detail="status ${status}" `))
+      chai.expect(fixture.lines.find((line) => line.event === 'stream_broken_off')?.fields).to.include({ reason: 'target_failed', detail: `status ${status}` })
     })
   }
 
   it('breaks off a stream after an error response when no retry is left in the budget', async () => {
-    const fixture = setUp(5)
+    const fixture = setUp({ slack: 5 })
     await breakOffAndAnswer(fixture, { ...STREAM, maxTargets: 9 }, 500, 'boom')
     chai.expect([fixture.upstream.sends.length, fixture.reply.state, fixture.reply.text]).to.deep.equal([2, 'aborted', 'id: 1\ndata: a\n\n'])
   })
--- a/test/support/forwarder-fixture.ts
+++ b/test/support/forwarder-fixture.ts
@@ -1,4 +1,4 @@
-/** A forwarder in virtual time with two targets, whose responses are given by the test. */
+/** A forwarder in virtual time with scripted targets, for tests of one call. */
 import type * as calls from '../../src/call/index.js'
 import type * as errors from '../../src/errors/index.js'
 import * as forward from '../../src/forward/index.js'
@@ -8,54 +8,80 @@
 import * as quarantine from '../../src/quarantine/index.js'
 import * as retry from '../../src/retry/index.js'
 import * as time from '../../src/time/index.js'
+import type * as serving from '../../src/serving/index.js'
 import * as platformTarget from '../../platform/target-protocol.js'
 import * as build from './gateway-builders.js'
 
+/** Options of a fixture; `slack` are the retries that the budget allows. */
+export interface FixtureOptions {
+  readonly slack?: number
+  readonly targets?: readonly serving.TargetRecord[]
+  readonly placer?: 'plain' | 'engine'
+}
+
+/** A log line. */
+export interface LogLine {
+  readonly event: string
+  readonly fields: Readonly<Record<string, unknown>>
+}
+
 export const STREAM = build.aRoute({ streaming: true, idempotency: 'resumable', callerIdleTimeoutMs: 2_000 })
 
-/** A forwarder and what it sent, logged and counted; `slack` is that of the retry budget. */
-export function setUp (slack = 100) {
+export type ForwarderFixture = ReturnType<typeof setUp>
+
+export function setUp ({ slack = 100, targets = [build.aTarget('a'), build.aTarget('b')], placer = 'plain' }: FixtureOptions = {}) {
   const virtual = new time.VirtualTime()
   const env = virtual.env(1)
   const upstream = new build.ScriptedUpstream()
-  const fleet = build.aFleet(virtual, [build.aTarget('a'), build.aTarget('b')])
+  const fleet = build.aFleet(virtual, targets)
   const executed: string[] = []
+  const dropped: string[] = []
+  const lines: LogLine[] = []
+  const note = (fields: object, event: string): void => { lines.push({ event, fields: { ...fields } }) }
   const budget = new retry.SharedRetryBudget(virtual, { ratio: 0.2, slack, windowMs: 10_000 }, () => 1)
   const counters = new metrics.Metrics()
-  const lines: string[] = []
-  const placer = new placement.PlainPlacer(fleet, env, 'd1', () => 1)
+  const chosenPlacer = placer === 'plain' ? new placement.PlainPlacer(fleet, env, 'd1', () => 1) : new placement.EnginePlacer(fleet, env, 'd1', () => 1)
   const segments = new quarantine.SegmentQuarantine({ clock: virtual, selfName: 'g', gateways: () => ['g'], log: log.SILENT_LOGGER })
   const forwarder = new forward.Forwarder({
     env,
     upstream,
     protocol: new platformTarget.HttpTargetProtocol(),
     onExecution: (call) => executed.push(call.id),
-    placerFor: () => placer,
+    placerFor: () => chosenPlacer,
     budgetFor: () => budget,
     fleet,
     quarantine: segments,
     listAgeMs: () => 0,
     configVersion: () => 1,
-    log: log.createLogger('gateway', 'info', { write: (line: string) => lines.push(line) > 0 } as never),
+    log: { debug: note, info: note, warn: note, error: note },
     metrics: counters,
-    dropIdleConnections: () => {}
+    dropIdleConnections: (address) => dropped.push(address)
   })
   const reply = new build.RecordedReply()
   const callerLeft = new AbortController()
   let outcome: errors.Refusal | undefined | 'open' = 'open'
   const start = (call: calls.Call): void => { forwarder.forward(call, reply, callerLeft.signal).then((refusal) => { outcome = refusal }, (err: unknown) => { throw err }) }
-  return { virtual, upstream, fleet, segments, counters, lines, reply, callerLeft, executed, start, outcome: () => outcome }
+  return { virtual, upstream, fleet, segments, counters, budget, lines, dropped, reply, callerLeft, executed, start, outcome: () => outcome }
 }
 
-/** Gives a complete response to a send. */
+/** A complete response of a target to the call of {@link build.aCall}. */
 export function respond (send: build.RecordedSend, status: number, body: string, headers: Record<string, string> = {}): void {
   send.handler.onHead(status, { 'request-id': 'c1', ...headers })
   if (body !== '') send.handler.onData(Buffer.from(body))
   send.handler.onEnd()
 }
 
-/** Sends the head of a stream and one event. */
-export function begin (send: build.RecordedSend): void {
+/** The head of a stream, and its events with the ids from `first` to `last`. */
+export function beginStream (send: build.RecordedSend, first: number, last = first): void {
   send.handler.onHead(200, { 'request-id': 'c1' })
-  send.handler.onData(Buffer.from('id: 1\ndata: a\n\n'))
+  sendEvents(send, first, last)
+}
+
+/** Events of a stream with the ids from `first` to `last`; {@link eventText} is their text. */
+export function sendEvents (send: build.RecordedSend, first: number, last = first): void {
+  for (let id = first; id <= last; id++) send.handler.onData(Buffer.from(eventText(id)))
+}
+
+export function eventText (id: number): string {
+  return `id: ${id}\ndata: ${id}\n\n`
 }
