Count bodies that are still arriving against the memory for bodies

Callers saw nothing; many bodies that arrived at once could pass the bound, as each counted only once it was whole. Reading moves to request-body.ts. Test (bodies that are still arriving count): without the check on each chunk the second request got request_too_slow instead of entry_queue_full; passes now.

--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -6,6 +6,7 @@
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
 import * as httpReply from './http-reply.js'
+import * as requestBody from './request-body.js'
 import type * as types from './types.js'
 
 /** Limits while no configuration is known. */
@@ -26,9 +27,6 @@
 /** Bytes of the bodies of active requests beyond which new requests are refused; bounds memory. */
 const MAX_ACTIVE_BODY_BYTES = 64 * 1024 * 1024
 
-/** Retry-after of a request that was refused because of these limits, in ms. */
-const OVERLOAD_RETRY_AFTER_MS = 300
-
 /** Statuses of a refusal when the call may have been executed: they do not tell callers that it was not. */
 const MAYBE_EXECUTED_STATUS = 502
 const TIMEOUT_STATUS = 504
@@ -48,17 +46,18 @@
   private readonly server: http.Server
   private closing = false
   private active = 0
-  private activeBodyBytes = 0
+  private readonly bodyMemory = new requestBody.BodyMemory(MAX_ACTIVE_BODY_BYTES)
   private unfinished = 0
 
   constructor (private readonly deps: HttpFrontendDeps) {
     this.server = http.createServer({
       maxHeaderSize: PARSER_HEADER_BYTES,
       connectionsCheckingInterval: SLOW_CALLER_CHECK_MS,
+      headersTimeout: DEFAULT_LIMITS.headerTimeoutMs,
+      keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs,
       requestTimeout: 0,
       noDelay: true
     }, (req, res) => { this.serve(req, res).catch((err: unknown) => this.failRequest(res, err)) })
-    this.applyLimits(DEFAULT_LIMITS)
     this.server.on('clientError', (err, socket) => {
       this.deps.metrics.count('godwitpoint_client_errors_total')
       if (socket.writable && (err as NodeJS.ErrnoException).code !== 'ECONNRESET') socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
@@ -108,7 +107,6 @@
 
   private async serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const callerLeft = new AbortController()
-    let heldBytes = 0
     this.unfinished++
     res.on('close', () => {
       this.unfinished--
@@ -118,15 +116,12 @@
     })
     this.active++
     try {
-      const overloaded = this.active > MAX_ACTIVE_REQUESTS || this.activeBodyBytes > MAX_ACTIVE_BODY_BYTES
-      const body = overloaded ? new errors.Refusal('entry_queue_full', { step: 'parse', ran: 'no', retryAfterMs: OVERLOAD_RETRY_AFTER_MS }) : await this.readBody(req, res)
-      if (body instanceof Uint8Array) heldBytes = body.length
-      this.activeBodyBytes += heldBytes
+      using reader = this.createBody()
+      const body = this.checkHead(req) ?? await reader.read(req, res)
       if (body instanceof errors.Refusal) this.refuse(req, res, body)
       else if (body !== undefined) await this.handleRequest(req, res, body, callerLeft.signal)
     } finally {
       this.active--
-      this.activeBodyBytes -= heldBytes
     }
   }
 
@@ -142,37 +137,17 @@
     if (refusal !== undefined) this.refuse(req, res, refusal)
   }
 
-  /** The request body; a refusal when it is too large or stalls; undefined when the caller disconnected. */
-  private async readBody (req: http.IncomingMessage, res: http.ServerResponse): Promise<Uint8Array | errors.Refusal | undefined> {
-    const limits = this.deps.limits() ?? DEFAULT_LIMITS
-    if (headerBytes(req) > limits.headerBytes) return new errors.Refusal('headers_too_large', { step: 'parse', ran: 'no' })
-    if (Number(req.headers['content-length'] ?? 0) > limits.bodyBytes) return tooLarge()
-    if (req.headers['content-length'] === undefined && req.headers['transfer-encoding'] === undefined) {
-      req.resume()
-      return new Uint8Array(0)
-    }
-    return await new Promise((resolve) => {
-      const chunks: Buffer[] = []
-      let bytes = 0
-      const startIdleTimer = (): Disposable => this.deps.env.timers.after(limits.idleTimeoutMs, () => resolve(new errors.Refusal('request_too_slow', { step: 'parse', ran: 'no' })))
-      let timer = startIdleTimer()
-      const settle = (outcome: Uint8Array | errors.Refusal | undefined): void => {
-        timer[Symbol.dispose]()
-        resolve(outcome)
-      }
-      req.on('data', (chunk: Buffer) => {
-        timer[Symbol.dispose]()
-        bytes += chunk.length
-        if (bytes > limits.bodyBytes) settle(tooLarge())
-        else {
-          chunks.push(chunk)
-          timer = startIdleTimer()
-        }
-      })
-      req.on('end', () => settle(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)))
-      req.on('error', () => settle(undefined))
-      res.on('close', () => settle(undefined))
-    })
+  private get limits (): serving.CallerLimits {
+    return this.deps.limits() ?? DEFAULT_LIMITS
+  }
+
+  private createBody (): requestBody.RequestBody {
+    return new requestBody.RequestBody(this.bodyMemory, this.deps.env.timers, this.limits)
+  }
+
+  private checkHead (req: http.IncomingMessage): errors.Refusal | undefined {
+    if (this.active > MAX_ACTIVE_REQUESTS || this.bodyMemory.isFull) return requestBody.overloaded()
+    return headerBytes(req) > this.limits.headerBytes ? new errors.Refusal('headers_too_large', { step: 'parse', ran: 'no' }) : undefined
   }
 
   private refuse (req: http.IncomingMessage, res: http.ServerResponse, refusal: errors.Refusal): void {
@@ -210,10 +185,6 @@
   return req.socket.readableEnded || req.socket.errored !== null ? 'caller' : 'gateway'
 }
 
-function tooLarge (): errors.Refusal {
-  return new errors.Refusal('request_too_large', { step: 'parse', ran: 'no' })
-}
-
 function headerBytes (req: http.IncomingMessage): number {
   let bytes = (req.url?.length ?? 0) + (req.method?.length ?? 0)
   for (const text of req.rawHeaders) bytes += text.length + 2
--- /dev/null
+++ b/src/gateway/request-body.ts
@@ -0,0 +1,99 @@
+/** Reads the bodies of requests within the limits on size, time and memory. */
+import type * as http from 'node:http'
+import * as errors from '../errors/index.js'
+import type * as serving from '../serving/index.js'
+import type * as time from '../time/index.js'
+
+/** Retry-after of a request that was refused for overload, in ms. */
+const OVERLOAD_RETRY_AFTER_MS = 300
+
+/** Bytes of all bodies that are held, also of those that are still arriving. */
+export class BodyMemory {
+  private bytes = 0
+
+  constructor (private readonly maxBytes: number) {}
+
+  /** Bytes held now. */
+  get heldBytes (): number {
+    return this.bytes
+  }
+
+  get isFull (): boolean {
+    return this.bytes > this.maxBytes
+  }
+
+  take (bytes: number): void {
+    this.bytes += bytes
+  }
+
+  release (bytes: number): void {
+    this.bytes -= bytes
+  }
+}
+
+/** The body of one request; counts in the memory until it is disposed. */
+export class RequestBody implements Disposable {
+  private chunks: Buffer[] = []
+  private bytes = 0
+  private timer: Disposable | undefined
+
+  constructor (private readonly memory: BodyMemory, private readonly timers: time.Timers, private readonly limits: serving.CallerLimits) {}
+
+  /** The body; a refusal when it is too large, stalls or finds no memory; undefined when the caller disconnected. */
+  async read (req: http.IncomingMessage, res: http.ServerResponse): Promise<Uint8Array | errors.Refusal | undefined> {
+    if (Number(req.headers['content-length'] ?? 0) > this.limits.bodyBytes) return tooLarge()
+    if (req.headers['content-length'] === undefined && req.headers['transfer-encoding'] === undefined) {
+      req.resume()
+      return new Uint8Array(0)
+    }
+    return await new Promise((resolve) => {
+      const settle = (outcome: Uint8Array | errors.Refusal | undefined): void => {
+        this.timer?.[Symbol.dispose]()
+        resolve(outcome)
+      }
+      this.startIdleTimer(settle)
+      req.on('data', (chunk: Buffer) => {
+        this.startIdleTimer(settle)
+        const refusal = this.add(chunk)
+        if (refusal !== undefined) settle(refusal)
+      })
+      req.on('end', () => settle(this.takeChunks()))
+      req.on('error', () => settle(undefined))
+      res.on('close', () => settle(undefined))
+    })
+  }
+
+  [Symbol.dispose] (): void {
+    this.memory.release(this.bytes)
+    this.bytes = 0
+    this.chunks = []
+  }
+
+  private add (chunk: Buffer): errors.Refusal | undefined {
+    this.chunks.push(chunk)
+    this.bytes += chunk.length
+    this.memory.take(chunk.length)
+    if (this.bytes > this.limits.bodyBytes) return tooLarge()
+    return this.memory.isFull ? overloaded() : undefined
+  }
+
+  private takeChunks (): Uint8Array {
+    const { chunks } = this
+    this.chunks = []
+    return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)
+  }
+
+  private startIdleTimer (settle: (refusal: errors.Refusal) => void): void {
+    this.timer?.[Symbol.dispose]()
+    this.timer = this.timers.after(this.limits.idleTimeoutMs, () => settle(new errors.Refusal('request_too_slow', { step: 'parse', ran: 'no' })))
+  }
+}
+
+/** Refusal of a request because of the number or the bytes of those that are being handled. */
+export function overloaded (): errors.Refusal {
+  return new errors.Refusal('entry_queue_full', { step: 'parse', ran: 'no', retryAfterMs: OVERLOAD_RETRY_AFTER_MS })
+}
+
+function tooLarge (): errors.Refusal {
+  return new errors.Refusal('request_too_large', { step: 'parse', ran: 'no' })
+}
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -50,6 +50,20 @@
     chai.expect(await fixture.handle(aReq({ path: '/z/' }))).to.equal('unknown_route')
   })
 
+  it('gives a final refusal within the timeout of its route although the store is slow', async () => {
+    const fixture = await setUp({ one: build.aConfig({ routes: [build.aRoute({ timeoutMs: 300 })] }) })
+    await fixture.write('one')
+    fixture.feed.start()
+    await fixture.virtual.advance(100)
+    fixture.store.faults.delayMs = 900
+    let reason: string | undefined
+    const handled = fixture.handle(aReq({ key: 'k9' })).then((outcome) => { reason = outcome })
+    await fixture.virtual.advance(250)
+    chai.expect(reason).to.equal('key_invalid')
+    await fixture.virtual.advance(1_000)
+    await handled
+  })
+
   it('refuses keys as unknown, not as invalid, when its copy of the configuration may be stale', async () => {
     const fixture = await setUp({ one: build.aConfig({ routes: [build.aRoute(), build.aRoute({ name: 'open', path: '/o/', open: true })] }) })
     await fixture.write('one')
--- /dev/null
+++ b/test/gateway/request-body.test.ts
@@ -0,0 +1,57 @@
+import * as http from 'node:http'
+import type * as net from 'node:net'
+import * as chai from 'chai'
+import * as errors from '../../src/errors/index.js'
+import * as requestBody from '../../src/gateway/request-body.js'
+import * as time from '../../src/time/index.js'
+import * as raw from '../support/raw-caller.js'
+
+const LIMITS = { headerBytes: 10_000, bodyBytes: 1_000, headerTimeoutMs: 5_000, idleTimeoutMs: 100 }
+
+async function delay (ms: number): Promise<void> {
+  await time.delay(new time.SystemTimers(), ms)
+}
+
+/** A server that reads one body and keeps it until disposed; `outcome` is set when the body was read. */
+class BodyServer implements AsyncDisposable {
+  readonly memory: requestBody.BodyMemory
+  readonly outcomes: string[] = []
+  port = 0
+  private readonly server: http.Server
+
+  constructor (maxBytes: number, limits = LIMITS) {
+    this.memory = new requestBody.BodyMemory(maxBytes)
+    this.server = http.createServer((req, res) => {
+      const body = new requestBody.RequestBody(this.memory, new time.SystemTimers(), limits)
+      body.read(req, res).then((outcome) => { this.outcomes.push(outcome instanceof errors.Refusal ? outcome.reason : String(outcome?.length)) }, (err: unknown) => { this.outcomes.push(String(err)) })
+    })
+  }
+
+  async listen (): Promise<void> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve))
+    this.port = (this.server.address() as net.AddressInfo).port
+  }
+
+  async outcome (count: number): Promise<string[]> {
+    while (this.outcomes.length < count) await delay(5)
+    return this.outcomes
+  }
+
+  async [Symbol.asyncDispose] (): Promise<void> {
+    this.server.closeAllConnections()
+    await new Promise<void>((resolve) => { this.server.close(() => resolve()) })
+  }
+}
+
+describe('bodies of requests', () => {
+  it('bodies that are still arriving count against the memory for bodies', async () => {
+    await using server = new BodyServer(800, { ...LIMITS, idleTimeoutMs: 5_000 })
+    await server.listen()
+    using first = new raw.RawCaller(server.port)
+    using second = new raw.RawCaller(server.port)
+    first.send(raw.requestHead('r1', ['Content-Length: 900']) + 'x'.repeat(600))
+    while (server.memory.heldBytes < 600) await delay(5)
+    second.send(raw.requestHead('r2', ['Content-Length: 900']) + 'x'.repeat(600))
+    chai.expect(await server.outcome(1)).to.deep.equal(['entry_queue_full'])
+  })
+})
--- a/test/support/gateway-process.ts
+++ b/test/support/gateway-process.ts
@@ -36,7 +36,8 @@
   readonly store = new standin.MemoryStore(new time.SystemTimers())
   private node: gateway.GatewayNode | undefined
   private readonly servers: http.Server[] = []
-  private port = 0
+  /** Port at which callers connect. */
+  port = 0
 
   /** Starts a server of the plain service and adds it to the list of targets. */
   async addServer (id: string, handler: http.RequestListener): Promise<void> {
@@ -79,6 +80,12 @@
     while (!this.node.ready) await time.delay(new time.SystemTimers(), 10)
   }
 
+  /** Writes a configuration and waits until it is in force; a request of an unknown route makes the gateway read it at once. */
+  async change (config: object & { version: number }): Promise<void> {
+    await this.store.put(servingConfig.CONFIG_KEY, JSON.stringify(config), this.store.peek(servingConfig.CONFIG_KEY)!.version)
+    while (!this.lines.some((line) => line.includes('event=config_applied') && line.includes(` version=${config.version} `))) await this.request(`change-${config.version}`, { path: '/unknown/' })
+  }
+
   /** Sends a request and reads the complete response. */
   async request (id: string, overrides: { path?: string, key?: string, body?: string, headers?: Record<string, string> } = {}): Promise<{ status: number, headers: http.IncomingHttpHeaders, body: string }> {
     return await new Promise((resolve, reject) => {
@@ -112,6 +119,11 @@
   }
 }
 
+/** A port on which nothing listens. */
+export async function freePort (): Promise<number> {
+  return (await freePorts(1))[0]!
+}
+
 async function freePorts (count: number): Promise<number[]> {
   const servers = Array.from({ length: count }, () => http.createServer())
   const ports: number[] = []
