--- a/src/gateway/request-body.ts
+++ b/src/gateway/request-body.ts
@@ -47,12 +47,15 @@
       return new Uint8Array(0)
     }
     return await new Promise((resolve) => {
+      let settled = false
       const settle = (outcome: Uint8Array | errors.Refusal | undefined): void => {
+        settled = true
         this.timer?.[Symbol.dispose]()
         resolve(outcome)
       }
       this.startIdleTimer(settle)
       req.on('data', (chunk: Buffer) => {
+        if (settled) return
         this.startIdleTimer(settle)
         const refusal = this.add(chunk)
         if (refusal !== undefined) settle(refusal)
--- a/test/gateway/request-body.test.ts
+++ b/test/gateway/request-body.test.ts
@@ -54,4 +54,15 @@
     second.send(raw.requestHead('r2', ['Content-Length: 900']) + 'x'.repeat(600))
     chai.expect(await server.outcome(1)).to.deep.equal(['entry_queue_full'])
   })
+
+  it('chunks of a body that arrive after it was refused as too slow are not held', async () => {
+    await using server = new BodyServer(10_000)
+    await server.listen()
+    using caller = new raw.RawCaller(server.port)
+    caller.send(raw.requestHead('r1', ['Content-Length: 900']) + 'x'.repeat(10))
+    chai.expect(await server.outcome(1)).to.deep.equal(['request_too_slow'])
+    caller.send('x'.repeat(800))
+    await delay(100)
+    chai.expect(server.memory.heldBytes).to.equal(10)
+  })
 })
