Read the rest of a refused request before the connection closes

Callers lost a 413, 408 or 503 that was sent before their body was read: closing a socket with unread bytes resets it. The rest is now read and discarded for up to 1 s. Test failed before with: connection reset before HTTP/1.1 413, received: "".

--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -27,6 +27,9 @@
 /** Bytes of the bodies of active requests beyond which new requests are refused; bounds memory. */
 const MAX_ACTIVE_BODY_BYTES = 64 * 1024 * 1024
 
+/** Time for which the rest of a refused request is read and discarded, in ms. */
+const MAX_LINGER_MS = 1_000
+
 /** Statuses of a refusal when the call may have been executed: they do not tell callers that it was not. */
 const MAYBE_EXECUTED_STATUS = 502
 const TIMEOUT_STATUS = 504
@@ -47,6 +50,7 @@
   private closing = false
   private active = 0
   private readonly bodyMemory = new requestBody.BodyMemory(MAX_ACTIVE_BODY_BYTES)
+  private readonly lingering = new WeakSet<http.ServerResponse>()
   private unfinished = 0
 
   constructor (private readonly deps: HttpFrontendDeps) {
@@ -110,7 +114,7 @@
     this.unfinished++
     res.on('close', () => {
       this.unfinished--
-      if (res.writableFinished) return
+      if (res.writableFinished || this.lingering.has(res)) return
       this.noteUnfinished(req, res)
       callerLeft.abort()
     })
@@ -162,7 +166,18 @@
     const bodyPending = !req.complete
     const headers = ['content-length', '0', ...(retryAfterMs === undefined ? [] : this.deps.protocol.retryHeaders(retryAfterMs))]
     res.writeHead(status, this.closing || bodyPending ? [...headers, 'connection', 'close'] : headers)
-    res.end()
+    if (bodyPending) this.endAfterBody(req, res)
+    else res.end()
+  }
+
+  /** Ends a response once the rest of the request has arrived: a connection that is closed with bytes unread is reset, which can discard the response. */
+  private endAfterBody (req: http.IncomingMessage, res: http.ServerResponse): void {
+    this.lingering.add(res)
+    res.flushHeaders()
+    const timer = this.deps.env.timers.after(MAX_LINGER_MS, () => res.end())
+    req.on('end', () => res.end())
+    res.on('close', () => timer[Symbol.dispose]())
+    req.resume()
   }
 
   private failRequest (res: http.ServerResponse, err: unknown): void {
--- a/test/gateway/request-body.test.ts
+++ b/test/gateway/request-body.test.ts
@@ -4,6 +4,7 @@
 import * as errors from '../../src/errors/index.js'
 import * as requestBody from '../../src/gateway/request-body.js'
 import * as time from '../../src/time/index.js'
+import * as support from '../support/gateway-process.js'
 import * as raw from '../support/raw-caller.js'
 
 const LIMITS = { headerBytes: 10_000, bodyBytes: 1_000, headerTimeoutMs: 5_000, idleTimeoutMs: 100 }
@@ -65,4 +66,30 @@
     await delay(100)
     chai.expect(server.memory.heldBytes).to.equal(10)
   })
+
+  it('a refusal reaches a caller that reads it only after it has sent its body', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.start()
+    using caller = new raw.RawCaller(gw.port)
+    caller.setReading(false)
+    caller.send(raw.requestHead('r1', ['Content-Length: 3000']) + 'x'.repeat(1_000))
+    for (let sent = 1_000; sent < 3_000; sent += 500) {
+      await delay(100)
+      caller.send('x'.repeat(500))
+    }
+    await delay(100)
+    caller.setReading(true)
+    await caller.receive('HTTP/1.1 413')
+    await caller.closed()
+    chai.expect(caller.state).to.equal('ended')
+  })
+
+  it('a caller that does not send the rest of a refused body does not keep the connection open', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.start()
+    using caller = new raw.RawCaller(gw.port)
+    caller.send(raw.requestHead('r1', ['Content-Length: 3000']) + 'x')
+    await caller.receive('HTTP/1.1 413')
+    await caller.closed()
+  })
 })
