Refuse with 503 while no configuration is known, not for the size of a request

A large request got a final 413 by the default limits. Test failed before with 413 Payload Too Large; the refusal is now entry_not_ready with a retry time.

--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -27,6 +27,9 @@
 /** Bytes of the bodies of active requests beyond which new requests are refused; bounds memory. */
 const MAX_ACTIVE_BODY_BYTES = 64 * 1024 * 1024
 
+/** Retry-after of a request that was refused because no configuration is known yet, in ms. */
+const NOT_READY_RETRY_AFTER_MS = 250
+
 /** Time for which the rest of a refused request is read and discarded, in ms. */
 const MAX_LINGER_MS = 1_000
 
@@ -121,8 +124,9 @@
     this.active++
     try {
       using reader = this.createBody()
+      const isConfigured = this.deps.limits() !== undefined
       const body = this.checkHead(req) ?? await reader.read(req, res)
-      if (body instanceof errors.Refusal) this.refuse(req, res, body)
+      if (body instanceof errors.Refusal) this.refuse(req, res, isConfigured ? body : notReady())
       else if (body !== undefined) await this.handleRequest(req, res, body, callerLeft.signal)
     } finally {
       this.active--
@@ -200,6 +204,11 @@
   return req.socket.readableEnded || req.socket.errored !== null ? 'caller' : 'gateway'
 }
 
+/** Refusal while the limits of the configuration are unknown; the default ones are no reason for a final refusal. */
+function notReady (): errors.Refusal {
+  return new errors.Refusal('entry_not_ready', { step: 'parse', ran: 'no', retryAfterMs: NOT_READY_RETRY_AFTER_MS })
+}
+
 function headerBytes (req: http.IncomingMessage): number {
   let bytes = (req.url?.length ?? 0) + (req.method?.length ?? 0)
   for (const text of req.rawHeaders) bytes += text.length + 2
