Bound the wait for a newer configuration before a final refusal

A call with an unknown key waited for a slow read of the store beyond the timeout of its route. It now waits half of its time at most. Test failed before: no outcome after 250 ms of a route timeout of 300 ms with reads of 900 ms.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,7 +3,7 @@
 import * as errors from '../errors/index.js'
 import type * as forward from '../forward/index.js'
 import * as serving from '../serving/index.js'
-import type * as time from '../time/index.js'
+import * as time from '../time/index.js'
 import type * as types from './types.js'
 
 /** Share of the key revocation bound up to which a copy of the keys is fresh enough to be used. */
@@ -15,6 +15,9 @@
 /** Deadline of a call whose caller sets none, in ms. */
 const DEFAULT_CALLER_WAIT_MS = 30_000
 
+/** Share of a request's time for which it may wait for a newer configuration; the rest is for the call that this one may allow. */
+const REFRESH_WAIT_SHARE = 0.5
+
 /** Retry-after of a refusal because this gateway is stopping or its configuration is missing or stale, in ms. */
 const RETRY_AFTER_MS = 250
 
@@ -59,7 +62,8 @@
     const outcome = this.check(req)
     if (!(outcome instanceof errors.Refusal) || !isFinal(outcome)) return outcome
     // The store may have a newer configuration that allows the request.
-    await this.deps.feed.refresh()
+    const route = this.deps.feed.current()?.findRoute(req.host, withoutQuery(req.path))
+    await time.withTimeout(this.deps.env.timers, waitMsOf(req, route) * REFRESH_WAIT_SHARE, this.deps.feed.refresh(), () => undefined)
     const recheck = this.check(req)
     if (!(recheck instanceof errors.Refusal) || !isFinal(recheck)) return recheck
     const isFresh = this.deps.feed.freshness.ageMs <= this.deps.bounds.configPropagationMs * FINAL_REFUSAL_STALENESS_SHARE
@@ -91,7 +95,6 @@
 
   private createCall (req: types.CallerReq, body: Uint8Array, authorized: AuthorizedRequest, arrivedAt: number): calls.Call {
     const { route, service, configVersion, account, key } = authorized
-    const waitMs = Math.min(req.waitMs ?? DEFAULT_CALLER_WAIT_MS, route.timeoutMs)
     return {
       id: req.id,
       method: req.method,
@@ -104,7 +107,7 @@
       account: account?.name,
       priority: account?.priority ?? route.priority,
       arrivedAt,
-      deadlineAt: Math.min(arrivedAt + waitMs, this.deps.callsEndAt() ?? Infinity),
+      deadlineAt: Math.min(arrivedAt + waitMsOf(req, route), this.deps.callsEndAt() ?? Infinity),
       prompt: req.prompt,
       resumeAfter: req.resumeAfter,
       checkAuthorization: () => key === undefined || account === undefined ? undefined : this.checkKey(key, account.name)
@@ -120,6 +123,11 @@
   readonly key: string | undefined
 }
 
+/** Time from the arrival of a request to its deadline, in ms; without a route only as long as the caller waits. */
+function waitMsOf (req: types.CallerReq, route: serving.ServingRoute | undefined): number {
+  return Math.min(req.waitMs ?? DEFAULT_CALLER_WAIT_MS, route?.timeoutMs ?? Infinity)
+}
+
 function isFinal (err: errors.Refusal): boolean {
   return err.status < 500
 }
