Reset the connection of an HTTP/1.0 stream that breaks off

Its body ends with the connection, so an orderly close made a broken stream look complete. Test failed before: expected 'ended' to equal 'reset'.

--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -164,7 +164,7 @@
     this.deps.metrics.countRefusal(refusal.reason, step)
     this.deps.log.info({ id: req.headers['request-id'], status, reason: refusal.reason, ran, detail: refusal.message, retry_after_ms: retryAfterMs === undefined ? undefined : Math.round(retryAfterMs) }, 'call_refused')
     if (res.headersSent || res.destroyed) {
-      res.destroy()
+      httpReply.breakOff(res)
       return
     }
     const bodyPending = !req.complete
@@ -190,7 +190,7 @@
     if (!res.headersSent && !res.destroyed) {
       res.writeHead(MAYBE_EXECUTED_STATUS, ['content-length', '0'])
       res.end()
-    } else res.destroy()
+    } else httpReply.breakOff(res)
   }
 }
 
--- a/src/gateway/http-reply.ts
+++ b/src/gateway/http-reply.ts
@@ -29,7 +29,7 @@
   }
 
   abort (): void {
-    this.res.destroy()
+    breakOff(this.res)
   }
 
   onDrain (fn: () => void): void {
@@ -41,3 +41,9 @@
     this.res.writeHead(status, this.closing() ? [...headers, 'connection', 'close'] : [...headers])
   }
 }
+
+/** Closes the connection of a response that stays incomplete; a body that ends with its connection would look complete unless that is reset. */
+export function breakOff (res: http.ServerResponse): void {
+  if (res.headersSent && res.req.httpVersion === '1.0') res.socket?.resetAndDestroy()
+  res.destroy()
+}
--- a/test/gateway/caller-connections.test.ts
+++ b/test/gateway/caller-connections.test.ts
@@ -19,6 +19,22 @@
 }
 
 describe('connections of callers', () => {
+  it('a stream to an HTTP/1.0 caller that breaks off does not look complete', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', (req, res) => {
+      req.resume()
+      res.writeHead(200, { 'request-id': req.headers['request-id'] ?? '', 'response-stamp': 's1', 'content-type': 'text/event-stream' })
+      res.write('id: 1\ndata: first\n\n')
+      setTimeout(() => res.destroy(), 100)
+    })
+    await gw.start(aConfig({}, 1, { kind: 'streaming', gapTargetMs: 1_500 }))
+    using caller = new raw.RawCaller(gw.port)
+    caller.send(raw.requestHead('r1', LENGTH_1, 'POST /r/x HTTP/1.0') + 'b')
+    await caller.receive('data: first')
+    await caller.closed()
+    chai.expect(caller.state).to.equal('reset')
+  })
+
   it('a gateway that knows no configuration refuses a large request with 503, not for its size', async () => {
     await using frontend = new httpFrontend.HttpFrontend({
       env: time.systemEnv(),
