Write no response of its own into one that is under way

When the next head on a connection was too slow or malformed, the gateway wrote 400 into the stream of the request before it, or in its place, and closed: a request that had been passed on lost its response. Responses to complete requests now end first. Tests failed before: 400 inside the stream; 400 before done r1.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -8,9 +8,6 @@
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
 
-/** Error code of Node when a request head was not complete within the header timeout. */
-const HEAD_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
-
 /** Error codes when the caller closed the connection, also in the middle of a request. */
 const CALLER_LEFT_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'HPE_INVALID_EOF_STATE'])
 
@@ -18,8 +15,6 @@
 const CLOSE_WAIT_MS = 1_000
 
 const MALFORMED_STATUS_LINE = '400 Bad Request'
-const NO_TUNNELS_STATUS_LINE = '405 Method Not Allowed'
-const HEAD_TIMEOUT_STATUS_LINE = '408 Request Timeout'
 
 /** Dependencies of the connections. */
 export interface CallerConnectionsDeps {
@@ -30,47 +25,26 @@
 }
 
 /** Decides when the connections of an HTTP server are closed that are idle, too slow or malformed. */
-export class CallerConnections implements Disposable {
+export class CallerConnections {
   /** Responses of each connection that are not written completely yet. */
   private readonly openResponses = new WeakMap<stream.Duplex, Set<http.ServerResponse>>()
-  private lowering: Disposable | undefined
-  private hasLimits = false
 
   constructor (private readonly deps: CallerConnectionsDeps) {
     deps.server.on('clientError', (err, socket) => this.handleError(err, socket))
-    deps.server.on('connect', (_req, socket) => this.refuseTunnel(socket))
-    deps.server.on('timeout', (socket) => this.closeUnlessUsed(socket))
   }
 
-  /**
-   * Applies the timeouts of a new configuration. A shorter header timeout is applied once the previous one has passed: a head
-   * that began under the previous one may take that time, and Node applies one timeout to all connections.
-   */
+  /** Applies the timeouts of a new configuration. */
   applyLimits (limits: serving.CallerLimits): void {
-    const { server, timers } = this.deps
+    const { server } = this.deps
     server.keepAliveTimeout = limits.idleTimeoutMs
-    this.lowering?.[Symbol.dispose]()
-    this.lowering = undefined
-    if (!this.hasLimits || limits.headerTimeoutMs >= server.headersTimeout) server.headersTimeout = limits.headerTimeoutMs
-    else this.lowering = timers.after(server.headersTimeout, () => { server.headersTimeout = limits.headerTimeoutMs })
-    this.hasLimits = true
+    server.headersTimeout = limits.headerTimeoutMs
   }
 
-  /** Notes a response that is to be written on a connection; its Keep-Alive header announces the present idle timeout. */
+  /** Notes a response that is to be written on a connection. */
   track (socket: net.Socket, res: http.ServerResponse): void {
-    const announcedMs = this.deps.server.keepAliveTimeout
     const open = this.openResponses.get(socket) ?? new Set()
     this.openResponses.set(socket, open.add(res))
     res.on('close', () => open.delete(res))
-    // Node has just set the idle timeout of the configuration in force now, which may be shorter than the announced one.
-    res.on('finish', () => {
-      const shortenedMs = announcedMs - this.deps.server.keepAliveTimeout
-      if (socket.timeout !== undefined && socket.timeout > 0 && shortenedMs > 0) socket.setTimeout(socket.timeout + shortenedMs)
-    })
-  }
-
-  [Symbol.dispose] (): void {
-    this.lowering?.[Symbol.dispose]()
   }
 
   private handleError (err: NodeJS.ErrnoException, socket: stream.Duplex): void {
@@ -85,9 +59,7 @@
     log.info({ code: err.code, open_responses: open.length }, 'caller_connection_failed')
     if (last !== undefined && last.req.complete) this.endAfter(last, socket)
     else if (last?.headersSent === true || open.length > 1) socket.destroy()
-    else if (err.code !== HEAD_TIMEOUT_CODE) this.refuse(socket, MALFORMED_STATUS_LINE, 'malformed_request')
-    else if ((socket as net.Socket).bytesRead === 0) socket.destroy()
-    else this.refuse(socket, HEAD_TIMEOUT_STATUS_LINE, 'request_too_slow')
+    else this.refuse(socket, MALFORMED_STATUS_LINE, 'malformed_request')
   }
 
   private refuse (socket: stream.Duplex, statusLine: string, reason: errors.RefusalReason): void {
@@ -107,19 +79,4 @@
     last.shouldKeepAlive = false
     last.on('close', () => this.end(socket))
   }
-
-  /** Answers a CONNECT request, for which Node would close the connection; it has removed its own listeners from the socket. */
-  private refuseTunnel (socket: stream.Duplex): void {
-    socket.on('error', (err: NodeJS.ErrnoException) => this.deps.log.info({ code: err.code, open_responses: 0 }, 'caller_connection_failed'))
-    if ((this.openResponses.get(socket)?.size ?? 0) > 0) socket.destroy()
-    else this.refuse(socket, NO_TUNNELS_STATUS_LINE, 'method_not_allowed')
-  }
-
-  /** Closes an idle connection unless bytes have arrived that this process has not read yet: timers run before reads. */
-  private closeUnlessUsed (socket: net.Socket): void {
-    const { bytesRead } = socket
-    setImmediate(() => {
-      if (socket.bytesRead === bytesRead) socket.destroy()
-    })
-  }
 }
--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -5,6 +5,7 @@
 import type * as metrics from '../metrics/index.js'
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
+import * as callerConnections from './caller-connections.js'
 import * as httpReply from './http-reply.js'
 import * as requestBody from './request-body.js'
 import type * as types from './types.js'
@@ -50,6 +51,7 @@
 /** Reads requests within the limits of the configuration and writes the responses. */
 export class HttpFrontend implements AsyncDisposable {
   private readonly server: http.Server
+  private readonly connections: callerConnections.CallerConnections
   private closing = false
   private active = 0
   private readonly bodyMemory = new requestBody.BodyMemory(MAX_ACTIVE_BODY_BYTES)
@@ -65,11 +67,7 @@
       requestTimeout: 0,
       noDelay: true
     }, (req, res) => { this.serve(req, res).catch((err: unknown) => this.failRequest(res, err)) })
-    this.server.on('clientError', (err, socket) => {
-      this.deps.metrics.count('godwitpoint_client_errors_total')
-      if (socket.writable && (err as NodeJS.ErrnoException).code !== 'ECONNRESET') socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
-      else socket.destroy()
-    })
+    this.connections = new callerConnections.CallerConnections({ server: this.server, timers: deps.env.timers, log: deps.log, metrics: deps.metrics })
   }
 
   /** Number of requests being handled. */
@@ -84,8 +82,7 @@
 
   /** Applies the timeouts of a new configuration. */
   applyLimits (limits: serving.CallerLimits): void {
-    this.server.headersTimeout = limits.headerTimeoutMs
-    this.server.keepAliveTimeout = limits.idleTimeoutMs
+    this.connections.applyLimits(limits)
   }
 
   /** Starts listening; rejects when the port cannot be bound. */
@@ -115,6 +112,7 @@
   private async serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const callerLeft = new AbortController()
     this.unfinished++
+    this.connections.track(req.socket, res)
     res.on('close', () => {
       this.unfinished--
       if (res.writableFinished || this.lingering.has(res)) return
--- a/test/gateway/caller-connections.test.ts
+++ b/test/gateway/caller-connections.test.ts
@@ -1,3 +1,4 @@
+import type * as http from 'node:http'
 import * as chai from 'chai'
 import * as httpFrontend from '../../src/gateway/http-frontend.js'
 import * as log from '../../src/log/index.js'
@@ -14,11 +15,53 @@
   return { ...support.CONFIG, version, routes: [{ ...support.CONFIG.routes[0]!, timeoutMs: 6_000, ...route }], limits: { ...support.CONFIG.limits, ...limits } }
 }
 
+function respond (req: http.IncomingMessage, res: http.ServerResponse): void {
+  req.resume()
+  req.on('end', () => {
+    res.writeHead(200, { 'request-id': req.headers['request-id'] ?? '', 'response-stamp': 's1' })
+    res.end(`done ${String(req.headers['request-id'])}`)
+  })
+}
+
 async function delay (ms: number): Promise<void> {
   await time.delay(new time.SystemTimers(), ms)
 }
 
 describe('connections of callers', () => {
+  it('no response of its own is written into a stream that is under way when the next head is too slow or malformed', async () => {
+    for (const next of ['POST /r/x HT', '\u0001 no request\r\n\r\n']) {
+      await using gw = new support.GatewayProcess()
+      await gw.addServer('i-1', (req, res) => {
+        req.resume()
+        res.writeHead(200, { 'request-id': req.headers['request-id'] ?? '', 'response-stamp': 's1', 'content-type': 'text/event-stream' })
+        res.write('id: 1\ndata: first\n\n')
+        setTimeout(() => res.end('id: 2\ndata: last\n\n'), 1_200)
+      })
+      await gw.start(aConfig({ headerTimeoutMs: 200 }, 1, { kind: 'streaming', gapTargetMs: 1_500 }))
+      using caller = new raw.RawCaller(gw.port)
+      caller.send(raw.requestHead('r1', LENGTH_1) + 'b')
+      await caller.receive('data: first')
+      caller.send(next)
+      await caller.receive('\r\n0\r\n\r\n')
+      chai.expect(caller.received.match(/HTTP\/1.1/g)).to.have.length(1)
+      chai.expect(caller.received).to.include('data: last')
+      await caller.closed()
+    }
+  }).timeout(15_000)
+
+  it('a request that was passed on gets its response although what follows it is malformed', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', (req, res) => { setTimeout(() => respond(req, res), 200) })
+    await gw.start(aConfig())
+    using caller = new raw.RawCaller(gw.port)
+    caller.send(raw.requestHead('r1', LENGTH_1) + 'b')
+    await delay(50)
+    caller.send('\u0001 no request\r\n\r\n')
+    await caller.receive('done r1')
+    chai.expect(caller.received.match(/HTTP\/1.1/g)).to.have.length(1)
+    await caller.closed()
+  }).timeout(15_000)
+
   it('a stream to an HTTP/1.0 caller that breaks off does not look complete', async () => {
     await using gw = new support.GatewayProcess()
     await gw.addServer('i-1', (req, res) => {
