Answer a head that takes too long with 408

Callers never repeat a 400. A new connection on which nothing was sent is closed without a response. Tests failed before with 400 Bad Request.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -8,6 +8,9 @@
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
 
+/** Error code of Node when a request head was not complete within the header timeout. */
+const HEAD_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
+
 /** Error codes when the caller closed the connection, also in the middle of a request. */
 const CALLER_LEFT_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'HPE_INVALID_EOF_STATE'])
 
@@ -15,6 +18,7 @@
 const CLOSE_WAIT_MS = 1_000
 
 const MALFORMED_STATUS_LINE = '400 Bad Request'
+const HEAD_TIMEOUT_STATUS_LINE = '408 Request Timeout'
 
 /** Dependencies of the connections. */
 export interface CallerConnectionsDeps {
@@ -59,7 +63,9 @@
     log.info({ code: err.code, open_responses: open.length }, 'caller_connection_failed')
     if (last !== undefined && last.req.complete) this.endAfter(last, socket)
     else if (last?.headersSent === true || open.length > 1) socket.destroy()
-    else this.refuse(socket, MALFORMED_STATUS_LINE, 'malformed_request')
+    else if (err.code !== HEAD_TIMEOUT_CODE) this.refuse(socket, MALFORMED_STATUS_LINE, 'malformed_request')
+    else if ((socket as net.Socket).bytesRead === 0) socket.destroy()
+    else this.refuse(socket, HEAD_TIMEOUT_STATUS_LINE, 'request_too_slow')
   }
 
   private refuse (socket: stream.Duplex, statusLine: string, reason: errors.RefusalReason): void {
--- a/test/gateway/caller-connections.test.ts
+++ b/test/gateway/caller-connections.test.ts
@@ -62,6 +62,29 @@
     await caller.closed()
   }).timeout(15_000)
 
+  it('a head that takes too long gets 408, which callers repeat, and not 400, which they do not', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', respond)
+    await gw.start(aConfig({ headerTimeoutMs: 200 }))
+    using fresh = new raw.RawCaller(gw.port)
+    using kept = new raw.RawCaller(gw.port)
+    kept.send(raw.requestHead('r1', LENGTH_1) + 'b')
+    await kept.receive('done r1')
+    fresh.send('POST /r/x HTTP/1.1\r\nHost: led')
+    kept.send('POST /r/x HTTP/1.1\r\nHost: led')
+    await Promise.all([fresh.closed(), kept.closed()])
+    chai.expect(fresh.received).to.match(/^HTTP\/1.1 408 /)
+    chai.expect(kept.received).to.match(/done r1HTTP\/1.1 408 /)
+  }).timeout(15_000)
+
+  it('a new connection on which nothing was sent is closed without a response to no request', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.start(aConfig({ headerTimeoutMs: 200 }))
+    using caller = new raw.RawCaller(gw.port)
+    await caller.closed()
+    chai.expect([caller.received, caller.state]).to.deep.equal(['', 'ended'])
+  }).timeout(15_000)
+
   it('a stream to an HTTP/1.0 caller that breaks off does not look complete', async () => {
     await using gw = new support.GatewayProcess()
     await gw.addServer('i-1', (req, res) => {
