Apply a shorter header timeout once the previous one has passed

Node applies one header timeout to all connections, so a change cut heads that had begun under the longer one. Test failed before: 400 instead of done r1.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -29,19 +29,28 @@
 }
 
 /** Decides when the connections of an HTTP server are closed that are idle, too slow or malformed. */
-export class CallerConnections {
+export class CallerConnections implements Disposable {
   /** Responses of each connection that are not written completely yet. */
   private readonly openResponses = new WeakMap<stream.Duplex, Set<http.ServerResponse>>()
+  private lowering: Disposable | undefined
+  private hasLimits = false
 
   constructor (private readonly deps: CallerConnectionsDeps) {
     deps.server.on('clientError', (err, socket) => this.handleError(err, socket))
   }
 
-  /** Applies the timeouts of a new configuration. */
+  /**
+   * Applies the timeouts of a new configuration. A shorter header timeout is applied once the previous one has passed: a head
+   * that began under the previous one may take that time, and Node applies one timeout to all connections.
+   */
   applyLimits (limits: serving.CallerLimits): void {
-    const { server } = this.deps
+    const { server, timers } = this.deps
     server.keepAliveTimeout = limits.idleTimeoutMs
-    server.headersTimeout = limits.headerTimeoutMs
+    this.lowering?.[Symbol.dispose]()
+    this.lowering = undefined
+    if (!this.hasLimits || limits.headerTimeoutMs >= server.headersTimeout) server.headersTimeout = limits.headerTimeoutMs
+    else this.lowering = timers.after(server.headersTimeout, () => { server.headersTimeout = limits.headerTimeoutMs })
+    this.hasLimits = true
   }
 
   /** Notes a response that is to be written on a connection. */
@@ -51,6 +60,10 @@
     res.on('close', () => open.delete(res))
   }
 
+  [Symbol.dispose] (): void {
+    this.lowering?.[Symbol.dispose]()
+  }
+
   private handleError (err: NodeJS.ErrnoException, socket: stream.Duplex): void {
     const { log, metrics } = this.deps
     metrics.count('godwitpoint_client_errors_total')
--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -105,6 +105,7 @@
   }
 
   async [Symbol.asyncDispose] (): Promise<void> {
+    this.connections[Symbol.dispose]()
     this.server.close()
     this.server.closeAllConnections()
   }
--- a/test/gateway/caller-connections.test.ts
+++ b/test/gateway/caller-connections.test.ts
@@ -85,6 +85,33 @@
     chai.expect([caller.received, caller.state]).to.deep.equal(['', 'ended'])
   }).timeout(15_000)
 
+  it('a head that began under a longer header timeout may take that time', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', respond)
+    await gw.start(aConfig({ headerTimeoutMs: 6_000 }))
+    using caller = new raw.RawCaller(gw.port)
+    const head = raw.requestHead('r1', LENGTH_1)
+    caller.send(head.slice(0, 30))
+    await gw.change(aConfig({ headerTimeoutMs: 100 }, 2))
+    await delay(1_300)
+    caller.send(head.slice(30) + 'b')
+    await caller.receive('done r1')
+  }).timeout(15_000)
+
+  it('a lowered header timeout comes into force', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.start(aConfig({ headerTimeoutMs: 900 }))
+    await gw.change(aConfig({ headerTimeoutMs: 100 }, 2))
+    await gw.change(aConfig({ headerTimeoutMs: 800 }, 3))
+    await gw.change(aConfig({ headerTimeoutMs: 100 }, 4))
+    await delay(1_200)
+    using caller = new raw.RawCaller(gw.port)
+    caller.send('POST')
+    const sentAt = Date.now()
+    await caller.receive('HTTP/1.1 408')
+    chai.expect(Date.now() - sentAt).to.be.below(900)
+  }).timeout(15_000)
+
   it('a stream to an HTTP/1.0 caller that breaks off does not look complete', async () => {
     await using gw = new support.GatewayProcess()
     await gw.addServer('i-1', (req, res) => {
