Keep a connection as long as its last response announced

The Keep-Alive header is written with the idle timeout at the arrival of a request, the timer set with the one at its end: a change in between closed the connection earlier than announced. Test failed before: connection ended before done r2.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -53,11 +53,17 @@
     this.hasLimits = true
   }
 
-  /** Notes a response that is to be written on a connection. */
+  /** Notes a response that is to be written on a connection; its Keep-Alive header announces the present idle timeout. */
   track (socket: net.Socket, res: http.ServerResponse): void {
+    const announcedMs = this.deps.server.keepAliveTimeout
     const open = this.openResponses.get(socket) ?? new Set()
     this.openResponses.set(socket, open.add(res))
     res.on('close', () => open.delete(res))
+    // Node has just set the idle timeout of the configuration in force now, which may be shorter than the announced one.
+    res.on('finish', () => {
+      const shortenedMs = announcedMs - this.deps.server.keepAliveTimeout
+      if (socket.timeout !== undefined && socket.timeout > 0 && shortenedMs > 0) socket.setTimeout(socket.timeout + shortenedMs)
+    })
   }
 
   [Symbol.dispose] (): void {
--- a/test/gateway/caller-connections.test.ts
+++ b/test/gateway/caller-connections.test.ts
@@ -112,6 +112,22 @@
     chai.expect(Date.now() - sentAt).to.be.below(900)
   }).timeout(15_000)
 
+  it('a connection is kept as long as its last response announced, also after a change', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', (req, res) => { setTimeout(() => respond(req, res), 400) })
+    await gw.start(aConfig({ idleTimeoutMs: 3_000 }))
+    using caller = new raw.RawCaller(gw.port)
+    caller.send(raw.requestHead('r1', LENGTH_1) + 'b')
+    await delay(50)
+    await gw.change(aConfig({ idleTimeoutMs: 300 }, 2))
+    await caller.receive('done r1')
+    chai.expect(caller.received).to.match(/Keep-Alive: timeout=3\r\n/i)
+    await delay(1_800)
+    caller.send(raw.requestHead('r2', LENGTH_1) + 'b')
+    await caller.receive('done r2')
+    await caller.closed()
+  }).timeout(15_000)
+
   it('a stream to an HTTP/1.0 caller that breaks off does not look complete', async () => {
     await using gw = new support.GatewayProcess()
     await gw.addServer('i-1', (req, res) => {
