Read what has arrived before an idle connection is closed

Timers run before reads: after a pause of the process a connection was closed as idle with a request in hand. Test failed before: connection reset before done r2. Node adds 1 s to the idle timeout itself, so 0.8 of the limit is safe without a pause.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -37,6 +37,7 @@
 
   constructor (private readonly deps: CallerConnectionsDeps) {
     deps.server.on('clientError', (err, socket) => this.handleError(err, socket))
+    deps.server.on('timeout', (socket) => this.closeUnlessUsed(socket))
   }
 
   /**
@@ -104,4 +105,12 @@
     last.shouldKeepAlive = false
     last.on('close', () => this.end(socket))
   }
+
+  /** Closes an idle connection unless bytes have arrived that this process has not read yet: timers run before reads. */
+  private closeUnlessUsed (socket: net.Socket): void {
+    const { bytesRead } = socket
+    setImmediate(() => {
+      if (socket.bytesRead === bytesRead) socket.destroy()
+    })
+  }
 }
--- a/test/gateway/caller-connections.test.ts
+++ b/test/gateway/caller-connections.test.ts
@@ -27,6 +27,11 @@
   await time.delay(new time.SystemTimers(), ms)
 }
 
+/** Blocks this process, so that timers that are due run before bytes that have arrived are read. */
+function block (ms: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms)
+}
+
 describe('connections of callers', () => {
   it('no response of its own is written into a stream that is under way when the next head is too slow or malformed', async () => {
     for (const next of ['POST /r/x HT', '\u0001 no request\r\n\r\n']) {
@@ -128,6 +133,35 @@
     await caller.closed()
   }).timeout(15_000)
 
+  it('a request that arrived before the idle limit is served although the process came to it after the limit', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', respond)
+    await gw.start(aConfig({ idleTimeoutMs: 300 }))
+    using caller = new raw.RawCaller(gw.port)
+    caller.send(raw.requestHead('r1', LENGTH_1) + 'b')
+    await caller.receive('done r1')
+    await delay(700)
+    caller.send(raw.requestHead('r2', LENGTH_1) + 'b')
+    block(1_000)
+    await caller.receive('done r2')
+    await caller.closed()
+  }).timeout(15_000)
+
+  it('a kept connection serves at 0.8 of the idle limit, and is closed after it without a response', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', respond)
+    await gw.start(aConfig({ idleTimeoutMs: 1_500 }))
+    using caller = new raw.RawCaller(gw.port)
+    for (const id of ['r1', 'r2', 'r3']) {
+      caller.send(raw.requestHead(id, LENGTH_1) + 'b')
+      await caller.receive(`done ${id}`)
+      await delay(1_200)
+    }
+    await caller.closed()
+    chai.expect(caller.received.match(/HTTP\/1.1/g)).to.have.length(3)
+    chai.expect(caller.received).to.match(/Keep-Alive: timeout=1\r\n/i)
+  }).timeout(15_000)
+
   it('a stream to an HTTP/1.0 caller that breaks off does not look complete', async () => {
     await using gw = new support.GatewayProcess()
     await gw.addServer('i-1', (req, res) => {
