--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -18,6 +18,7 @@
 const CLOSE_WAIT_MS = 1_000
 
 const MALFORMED_STATUS_LINE = '400 Bad Request'
+const NO_TUNNELS_STATUS_LINE = '405 Method Not Allowed'
 const HEAD_TIMEOUT_STATUS_LINE = '408 Request Timeout'
 
 /** Dependencies of the connections. */
@@ -37,6 +38,7 @@
 
   constructor (private readonly deps: CallerConnectionsDeps) {
     deps.server.on('clientError', (err, socket) => this.handleError(err, socket))
+    deps.server.on('connect', (_req, socket) => this.refuseTunnel(socket))
     deps.server.on('timeout', (socket) => this.closeUnlessUsed(socket))
   }
 
@@ -106,6 +108,13 @@
     last.on('close', () => this.end(socket))
   }
 
+  /** Answers a CONNECT request, for which Node would close the connection; it has removed its own listeners from the socket. */
+  private refuseTunnel (socket: stream.Duplex): void {
+    socket.on('error', (err: NodeJS.ErrnoException) => this.deps.log.info({ code: err.code, open_responses: 0 }, 'caller_connection_failed'))
+    if ((this.openResponses.get(socket)?.size ?? 0) > 0) socket.destroy()
+    else this.refuse(socket, NO_TUNNELS_STATUS_LINE, 'method_not_allowed')
+  }
+
   /** Closes an idle connection unless bytes have arrived that this process has not read yet: timers run before reads. */
   private closeUnlessUsed (socket: net.Socket): void {
     const { bytesRead } = socket
--- a/test/gateway/caller-connections.test.ts
+++ b/test/gateway/caller-connections.test.ts
@@ -162,6 +162,15 @@
     chai.expect(caller.received).to.match(/Keep-Alive: timeout=1\r\n/i)
   }).timeout(15_000)
 
+  it('a CONNECT request gets a response', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.start(aConfig())
+    using caller = new raw.RawCaller(gw.port)
+    caller.send(raw.requestHead('r1', [], 'CONNECT ledger.example:443 HTTP/1.1'))
+    await caller.closed()
+    chai.expect(caller.received).to.match(/^HTTP\/1.1 405 /)
+  })
+
   it('a stream to an HTTP/1.0 caller that breaks off does not look complete', async () => {
     await using gw = new support.GatewayProcess()
     await gw.addServer('i-1', (req, res) => {
