--- a/test/gateway/caller-connections.test.ts
+++ b/test/gateway/caller-connections.test.ts
@@ -171,6 +171,23 @@
     chai.expect(caller.received).to.match(/^HTTP\/1.1 405 /)
   })
 
+  it('requests of HTTP/1.0, with Connection: close and with Upgrade are served', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', (req, res) => { setTimeout(() => respond(req, res), 100) })
+    await gw.start(aConfig())
+    const requests = [
+      raw.requestHead('r1', LENGTH_1, 'POST /r/x HTTP/1.0'),
+      raw.requestHead('r1', [...LENGTH_1, 'Connection: close']),
+      raw.requestHead('r1', [...LENGTH_1, 'Connection: Upgrade, HTTP2-Settings', 'Upgrade: h2c', 'HTTP2-Settings: AAMAAABkAARAAAAAAAIAAAAA'])
+    ]
+    for (const head of requests) {
+      using caller = new raw.RawCaller(gw.port)
+      caller.send(head + 'b')
+      await caller.receive('done r1')
+      if (!head.includes('Upgrade')) await caller.closed()
+    }
+  })
+
   it('a stream to an HTTP/1.0 caller that breaks off does not look complete', async () => {
     await using gw = new support.GatewayProcess()
     await gw.addServer('i-1', (req, res) => {
@@ -203,4 +220,18 @@
     await caller.receive('HTTP/1.1 503')
     chai.expect(caller.received).to.match(/retry-after/i)
   })
+
+  it('a caller that closes its direction while it waits has left, so that its call is ended at the target', async () => {
+    await using gw = new support.GatewayProcess()
+    const ended = new Promise<void>((resolve) => {
+      gw.addServer('i-1', (req) => { req.resume().socket.on('close', () => resolve()) }).catch(resolve)
+    })
+    await gw.start(aConfig())
+    using caller = new raw.RawCaller(gw.port)
+    caller.send(raw.requestHead('r1', LENGTH_1) + 'b')
+    await delay(100)
+    caller.halfClose()
+    await ended
+    await caller.closed()
+  })
 })
