--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -6,7 +6,9 @@
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
 import * as callerConnections from './caller-connections.js'
+import * as connectionPolicy from './connection-policy.js'
 import * as httpReply from './http-reply.js'
+import * as requestBody from './request-body.js'
 import type * as types from './types.js'
 
 /** Limits while no configuration is known. */
@@ -27,8 +29,11 @@
 /** Bytes of the bodies of active requests beyond which new requests are refused; bounds memory. */
 const MAX_ACTIVE_BODY_BYTES = 64 * 1024 * 1024
 
-/** Retry-after of a request that was refused because of these limits, in ms. */
-const OVERLOAD_RETRY_AFTER_MS = 300
+/** Retry-after of a request that was refused because no configuration is known yet, in ms. */
+const NOT_READY_RETRY_AFTER_MS = 250
+
+/** Time for which the rest of a refused request is read and discarded, in ms. */
+const MAX_LINGER_MS = 1_000
 
 /** Statuses of a refusal when the call may have been executed: they do not tell callers that it was not. */
 const MAYBE_EXECUTED_STATUS = 502
@@ -48,27 +53,26 @@
 export class HttpFrontend implements AsyncDisposable {
   private readonly server: http.Server
   private readonly connections = new callerConnections.CallerConnections()
+  private readonly policy: connectionPolicy.ConnectionPolicy
   private closing = false
   private active = 0
-  private activeBodyBytes = 0
+  private readonly bodyMemory = new requestBody.BodyMemory(MAX_ACTIVE_BODY_BYTES)
+  private readonly lingering = new WeakSet<http.ServerResponse>()
   private unfinished = 0
 
   constructor (private readonly deps: HttpFrontendDeps) {
     this.server = http.createServer({
       maxHeaderSize: PARSER_HEADER_BYTES,
       connectionsCheckingInterval: SLOW_CALLER_CHECK_MS,
+      headersTimeout: DEFAULT_LIMITS.headerTimeoutMs,
+      keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs,
       requestTimeout: 0,
       noDelay: true
     }, (req, res) => { this.serve(req, res).catch((err: unknown) => this.failRequest(res, err)) })
-    this.applyLimits(DEFAULT_LIMITS)
     this.server.on('connection', (socket) => this.connections.add(socket))
     // Node's own method, which close() calls, also closes connections whose response is still buffered.
     this.server.closeIdleConnections = () => this.connections.closeIdle()
-    this.server.on('clientError', (err, socket) => {
-      this.deps.metrics.count('godwitpoint_client_errors_total')
-      if (socket.writable && (err as NodeJS.ErrnoException).code !== 'ECONNRESET') socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
-      else socket.destroy()
-    })
+    this.policy = new connectionPolicy.ConnectionPolicy({ server: this.server, timers: deps.env.timers, log: deps.log, metrics: deps.metrics })
   }
 
   /** Number of requests being handled. */
@@ -83,8 +87,7 @@
 
   /** Applies the timeouts of a new configuration. */
   applyLimits (limits: serving.CallerLimits): void {
-    this.server.headersTimeout = limits.headerTimeoutMs
-    this.server.keepAliveTimeout = limits.idleTimeoutMs
+    this.policy.applyLimits(limits)
   }
 
   /** Starts listening; rejects when the port cannot be bound. */
@@ -107,16 +110,16 @@
   }
 
   async [Symbol.asyncDispose] (): Promise<void> {
+    this.policy[Symbol.dispose]()
     this.server.close()
     this.server.closeAllConnections()
   }
 
   private async serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const callerLeft = new AbortController()
-    let heldBytes = 0
     const accepted = this.connections.begin(req, res, () => {
       this.unfinished--
-      if (res.writableFinished) return
+      if (res.writableFinished || this.lingering.has(res)) return
       this.noteUnfinished(req, res)
       callerLeft.abort()
     })
@@ -124,18 +127,17 @@
       req.resume()
       return
     }
+    this.policy.track(req.socket, res)
     this.unfinished++
     this.active++
     try {
-      const overloaded = this.active > MAX_ACTIVE_REQUESTS || this.activeBodyBytes > MAX_ACTIVE_BODY_BYTES
-      const body = overloaded ? new errors.Refusal('entry_queue_full', { step: 'parse', ran: 'no', retryAfterMs: OVERLOAD_RETRY_AFTER_MS }) : await this.readBody(req, res)
-      if (body instanceof Uint8Array) heldBytes = body.length
-      this.activeBodyBytes += heldBytes
-      if (body instanceof errors.Refusal) this.refuse(req, res, body)
+      using reader = this.createBody()
+      const isConfigured = this.deps.limits() !== undefined
+      const body = this.checkHead(req) ?? await reader.read(req, res)
+      if (body instanceof errors.Refusal) this.refuse(req, res, isConfigured ? body : notReady())
       else if (body !== undefined) await this.handleRequest(req, res, body, callerLeft.signal)
     } finally {
       this.active--
-      this.activeBodyBytes -= heldBytes
     }
   }
 
@@ -151,37 +153,17 @@
     if (refusal !== undefined) this.refuse(req, res, refusal)
   }
 
-  /** The request body; a refusal when it is too large or stalls; undefined when the caller disconnected. */
-  private async readBody (req: http.IncomingMessage, res: http.ServerResponse): Promise<Uint8Array | errors.Refusal | undefined> {
-    const limits = this.deps.limits() ?? DEFAULT_LIMITS
-    if (headerBytes(req) > limits.headerBytes) return new errors.Refusal('headers_too_large', { step: 'parse', ran: 'no' })
-    if (Number(req.headers['content-length'] ?? 0) > limits.bodyBytes) return tooLarge()
-    if (req.headers['content-length'] === undefined && req.headers['transfer-encoding'] === undefined) {
-      req.resume()
-      return new Uint8Array(0)
-    }
-    return await new Promise((resolve) => {
-      const chunks: Buffer[] = []
-      let bytes = 0
-      const startIdleTimer = (): Disposable => this.deps.env.timers.after(limits.idleTimeoutMs, () => resolve(new errors.Refusal('request_too_slow', { step: 'parse', ran: 'no' })))
-      let timer = startIdleTimer()
-      const settle = (outcome: Uint8Array | errors.Refusal | undefined): void => {
-        timer[Symbol.dispose]()
-        resolve(outcome)
-      }
-      req.on('data', (chunk: Buffer) => {
-        timer[Symbol.dispose]()
-        bytes += chunk.length
-        if (bytes > limits.bodyBytes) settle(tooLarge())
-        else {
-          chunks.push(chunk)
-          timer = startIdleTimer()
-        }
-      })
-      req.on('end', () => settle(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)))
-      req.on('error', () => settle(undefined))
-      res.on('close', () => settle(undefined))
-    })
+  private get limits (): serving.CallerLimits {
+    return this.deps.limits() ?? DEFAULT_LIMITS
+  }
+
+  private createBody (): requestBody.RequestBody {
+    return new requestBody.RequestBody(this.bodyMemory, this.deps.env.timers, this.limits)
+  }
+
+  private checkHead (req: http.IncomingMessage): errors.Refusal | undefined {
+    if (this.active > MAX_ACTIVE_REQUESTS || this.bodyMemory.isFull) return requestBody.overloaded()
+    return headerBytes(req) > this.limits.headerBytes ? new errors.Refusal('headers_too_large', { step: 'parse', ran: 'no' }) : undefined
   }
 
   private refuse (req: http.IncomingMessage, res: http.ServerResponse, refusal: errors.Refusal): void {
@@ -190,14 +172,25 @@
     this.deps.metrics.countRefusal(refusal.reason, step)
     this.deps.log.info({ id: req.headers['request-id'], status, reason: refusal.reason, ran, detail: refusal.message, retry_after_ms: retryAfterMs === undefined ? undefined : Math.round(retryAfterMs) }, 'call_refused')
     if (res.headersSent || res.destroyed) {
-      res.destroy()
+      httpReply.breakOff(res)
       return
     }
     const bodyPending = !req.complete
     const headers = ['content-length', '0', ...(retryAfterMs === undefined ? [] : this.deps.protocol.retryHeaders(retryAfterMs))]
     const closes = (bodyPending || this.closing) && this.connections.closeAfter(req)
     res.writeHead(status, closes ? [...headers, 'connection', 'close'] : headers)
-    res.end()
+    if (bodyPending) this.endAfterBody(req, res)
+    else res.end()
+  }
+
+  /** Ends a response once the rest of the request has arrived: a connection that is closed with bytes unread is reset, which can discard the response. */
+  private endAfterBody (req: http.IncomingMessage, res: http.ServerResponse): void {
+    this.lingering.add(res)
+    res.flushHeaders()
+    const timer = this.deps.env.timers.after(MAX_LINGER_MS, () => res.end())
+    req.on('end', () => res.end())
+    res.on('close', () => timer[Symbol.dispose]())
+    req.resume()
   }
 
   private failRequest (res: http.ServerResponse, err: unknown): void {
@@ -206,7 +199,7 @@
     if (!res.headersSent && !res.destroyed) {
       res.writeHead(MAYBE_EXECUTED_STATUS, ['content-length', '0'])
       res.end()
-    } else res.destroy()
+    } else httpReply.breakOff(res)
   }
 }
 
@@ -220,8 +213,9 @@
   return req.socket.readableEnded || req.socket.errored !== null ? 'caller' : 'gateway'
 }
 
-function tooLarge (): errors.Refusal {
-  return new errors.Refusal('request_too_large', { step: 'parse', ran: 'no' })
+/** Refusal while the limits of the configuration are unknown; the default ones are no reason for a final refusal. */
+function notReady (): errors.Refusal {
+  return new errors.Refusal('entry_not_ready', { step: 'parse', ran: 'no', retryAfterMs: NOT_READY_RETRY_AFTER_MS })
 }
 
 function headerBytes (req: http.IncomingMessage): number {
--- a/test/support/gateway-process.ts
+++ b/test/support/gateway-process.ts
@@ -80,6 +80,12 @@
     while (!this.node.ready) await time.delay(new time.SystemTimers(), 10)
   }
 
+  /** Writes a configuration and waits until it is in force; a request of an unknown route makes the gateway read it at once. */
+  async change (config: object & { version: number }): Promise<void> {
+    await this.store.put(servingConfig.CONFIG_KEY, JSON.stringify(config), this.store.peek(servingConfig.CONFIG_KEY)!.version)
+    while (!this.lines.some((line) => line.includes('event=config_applied') && line.includes(` version=${config.version} `))) await this.request(`change-${config.version}`, { path: '/unknown/' })
+  }
+
   /** Sends a request and reads the complete response. */
   async request (id: string, overrides: { path?: string, key?: string, body?: string, headers?: Record<string, string> } = {}): Promise<{ status: number, headers: http.IncomingHttpHeaders, body: string }> {
     return await new Promise((resolve, reject) => {
@@ -96,8 +102,8 @@
   }
 
   /** Opens a connection of a caller that writes requests as text. */
-  connect (): RawCaller {
-    return new RawCaller(net.connect(this.callerPort, HOST))
+  connect (): CallerSocket {
+    return new CallerSocket(net.connect(this.callerPort, HOST))
   }
 
   /** Log lines that contain the id of a request. */
@@ -124,7 +130,7 @@
 }
 
 /** A caller's connection, as bytes. */
-export class RawCaller implements Disposable {
+export class CallerSocket implements Disposable {
   /** All that was received. */
   text = ''
   /** Resolves when the connection has closed. */
@@ -151,6 +157,11 @@
   }
 }
 
+/** A port on which nothing listens. */
+export async function freePort (): Promise<number> {
+  return (await freePorts(1))[0]!
+}
+
 async function freePorts (count: number): Promise<number[]> {
   const servers = Array.from({ length: count }, () => http.createServer())
   const ports: number[] = []
