--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -46,13 +46,15 @@
   }
 
   /**
-   * Whether the response to `req` may close its connection: no further request has arrived on it. None is accepted on it
-   * from then on.
+   * Whether the response to `req` may announce that it closes the connection: no further request was read on it, and no earlier
+   * response is pending, since the caller may send more until it learns of the close. A request whose body is not read on
+   * always closes it. No request is accepted on the connection from then on.
    */
   closeAfter (req: http.IncomingMessage): boolean {
     const connection = this.connections.get(req.socket)
     if (connection === undefined) return true
-    if (connection.newest !== req) return false
+    const [oldest] = connection.pending.keys()
+    if (connection.newest !== req || (oldest !== req && req.complete)) return false
     connection.closing = true
     return true
   }
