Order stored versions by the era of the store, then by revision

Cause: a revision was taken for a number that only rises. After the restore the store gives revisions out again, so the feed ignored each object whose revision was below the one it had, and its copy was never confirmed again. Ruled out: hanging reads (the target list was read 2 s after the loss) and a configuration that was not written again.

The feed goes by the operators' version number: an older configuration is ignored and confirms nothing, the one in use that is written again confirms it, and gateways tell one another a newer one that the store has lost. store_restored and the era are logged.

--- a/src/external/types.ts
+++ b/src/external/types.ts
@@ -5,7 +5,10 @@
 /** An object of the platform's versioned store. */
 export interface StoredObject {
   readonly key: string
-  /** Version of the object: the store's counter of changes at the last one; the counter covers all objects. */
+  /**
+   * Version of the object: the store's counter of changes at the last one, which covers all objects. Where the store may be
+   * restored from an older copy, it also contains the era (`storeVersion`).
+   */
   readonly version: number
   readonly value: string
 }
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -57,6 +57,8 @@
   readonly settings: NodeSettings
   readonly env: time.Env
   readonly store: external.ObjectStore
+  /** Eras of the store. */
+  readonly eras: external.StoreEras
   readonly callerProtocol: types.CallerProtocol
   readonly targetProtocol: calls.TargetProtocol & calls.CacheProtocol
   readonly dutyApi: duties.DutyApi
@@ -93,8 +95,9 @@
   constructor (private readonly deps: NodeDeps) {
     const { env, store, log, metrics, settings } = deps
     this.elapsed = new serving.ElapsedClock(env.clock)
+    deps.eras.onRestored((era) => log.warn({ era }, 'store_restored'))
     const isRelay = (): boolean => this.exchange.isRelay
-    this.feed = new serving.ConfigFeed({ env, elapsed: this.elapsed, store, propagationMs: settings.bounds.configPropagationMs, isReader: isRelay, log, metrics, ...deps.config })
+    this.feed = new serving.ConfigFeed({ env, elapsed: this.elapsed, store, eras: deps.eras, propagationMs: settings.bounds.configPropagationMs, isReader: isRelay, log, metrics, ...deps.config })
     this.pool = new upstream.ConnectionPool({ env, metrics })
     this.fleet = new fleet.Fleet({ clock: env.clock, log, onRemoved: (address) => this.pool.dropIdleConnections(address) })
     this.fleetFeed = new fleet.FleetFeed({ env, elapsed: this.elapsed, store, fleet: this.fleet, leavePropagationMs: settings.bounds.leavePropagationMs, shortestExpiryMs: settings.bounds.targetExpiryMs, isReader: isRelay, log, ...deps.targets })
--- a/src/serving/config-feed.ts
+++ b/src/serving/config-feed.ts
@@ -4,7 +4,7 @@
  */
 import * as z from 'zod'
 import type * as exchange from '../exchange/index.js'
-import type * as external from '../external/index.js'
+import * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import * as time from '../time/index.js'
 import type * as metrics from '../metrics/index.js'
@@ -28,14 +28,19 @@
  */
 const MAX_RELAYED_CHARS = 48 * 1024
 
-/** Version in the store, its age when this was sent, and the text unless it is too large or known already. */
-const ConfigState = z.object({ version: z.int(), ageMs: z.number(), text: z.string().optional() })
+/**
+ * Version in the store, the operators' version number, the age when this was sent, the text unless it is too large or known
+ * already, and the latest era of the store.
+ */
+const ConfigState = z.object({ version: z.int(), number: z.number(), ageMs: z.number(), text: z.string().optional(), era: z.int().optional() })
+type ConfigState = z.infer<typeof ConfigState>
 
 /** Dependencies of the configuration feed. */
 export interface ConfigFeedDeps {
   readonly env: time.Env
   readonly elapsed: elapsedClock.ElapsedClock
   readonly store: external.ObjectStore
+  readonly eras: external.StoreEras
   readonly key: string
   /** Bound on the time from the acknowledgement of a change until it is in force, in ms. */
   readonly propagationMs: number
@@ -54,6 +59,10 @@
   private table: routeTable.RouteTable | undefined
   private storeVersion = 0
   private text = ''
+  /** Operators' version number that the relay has in use. */
+  private relayNumber = Infinity
+  /** Store version of an older configuration that was ignored last. */
+  private ignoredVersion = 0
   private readonly poller: time.Poller
   private failing = false
   private readonly listeners: Array<(config: serving.ServingConfig) => void> = []
@@ -69,6 +78,7 @@
       read: async () => await this.read(),
       onError: (err) => deps.log.error({ err }, 'config_read_failed')
     })
+    deps.eras.onRestored(() => { if (deps.isReader()) this.refreshSoon() })
   }
 
   /** Starts polling. */
@@ -91,24 +101,31 @@
     await this.poller.readNow()
   }
 
+  // A member tells its relay only a configuration that the relay lacks: the store may hold an older one after a restore.
   changesSince (link: exchange.Link, position: number | undefined): exchange.Changes | undefined {
-    if (link.kind === 'relay' || this.table === undefined) return undefined
+    if (this.table === undefined) return undefined
+    const { version: number } = this.table.config
+    if (link.kind === 'relay' && this.relayNumber >= number) return undefined
     const isKnown = position === this.storeVersion || this.text.length > MAX_RELAYED_CHARS
-    const state: z.infer<typeof ConfigState> = { version: this.storeVersion, ageMs: Math.ceil(this.freshness.ageMs), ...(isKnown ? {} : { text: this.text }) }
+    const state: ConfigState = { version: this.storeVersion, number, ageMs: Math.ceil(this.freshness.ageMs), era: this.deps.eras.current, ...(isKnown ? {} : { text: this.text }) }
     return { next: this.storeVersion, payload: state }
   }
 
-  apply (_link: exchange.Link, payload: unknown, sentAt: number | undefined): boolean {
-    const { version, ageMs, text } = ConfigState.parse(payload)
-    if (version > this.storeVersion) {
-      if (text === undefined) this.refresh().catch((err: unknown) => this.deps.log.error({ err }, 'config_read_failed'))
+  apply (link: exchange.Link, payload: unknown, sentAt: number | undefined): boolean {
+    const { version, number, ageMs, text, era } = ConfigState.parse(payload)
+    if (era !== undefined) this.deps.eras.note(era)
+    if (link.kind === 'relay') this.relayNumber = number
+    if (version > this.storeVersion || number > this.number) {
+      if (text === undefined) this.refreshSoon()
       if (text === undefined || !this.applyObject({ key: this.deps.key, version, value: text })) return false
     }
     if (version === this.storeVersion && sentAt !== undefined) this.freshness.confirm(sentAt - ageMs)
     return true
   }
 
-  linkEnded (): void {}
+  linkEnded (link: exchange.Link): void {
+    if (link.kind === 'relay') this.relayNumber = Infinity
+  }
 
   [Symbol.dispose] (): void {
     this.poller[Symbol.dispose]()
@@ -136,18 +153,26 @@
     this.deps.log.info({ dependency: 'config', version: this.table?.config.version }, 'dependency_regained')
   }
 
+  /** Operators' version number of the configuration in use; minus infinity before the first. */
+  private get number (): number {
+    return this.table?.config.version ?? -Infinity
+  }
+
+  private refreshSoon (): void {
+    this.refresh().catch((err: unknown) => this.deps.log.error({ err }, 'config_read_failed'))
+  }
+
   private applyObject (object: external.StoredObject): boolean {
     try {
       const config = this.deps.decode(object.value)
-      if (this.table !== undefined && config.version < this.table.config.version) {
-        this.deps.log.warn({ version: config.version, current_version: this.table.config.version }, 'config_older_ignored')
+      if (config.version < this.number) {
+        this.noteIgnored(object.version, config.version)
         return false
       }
+      const isChanged = config.version !== this.number || object.value !== this.text
       this.storeVersion = object.version
       this.text = object.value
-      this.table = new routeTable.RouteTable(config)
-      this.deps.log.info({ version: config.version, revision: object.version, routes: config.routes.length }, 'config_applied')
-      for (const listener of this.listeners) listener(config)
+      if (isChanged) this.use(config, object.version)
       return true
     } catch (err) {
       this.noteFailure(err instanceof Error ? err.message : String(err))
@@ -155,6 +180,20 @@
     }
   }
 
+  private use (config: serving.ServingConfig, version: number): void {
+    this.table = new routeTable.RouteTable(config)
+    this.deps.log.info({ version: config.version, era: external.eraOf(version), revision: external.revisionOf(version), routes: config.routes.length }, 'config_applied')
+    for (const listener of this.listeners) listener(config)
+  }
+
+  // A store that was restored holds an older configuration until the operators have written theirs again. It confirms
+  // nothing: a change that was lost with the store may have withdrawn keys.
+  private noteIgnored (storeVersion: number, number: number): void {
+    if (storeVersion === this.ignoredVersion) return
+    this.ignoredVersion = storeVersion
+    this.deps.log.warn({ version: number, current_version: this.number, era: external.eraOf(storeVersion), revision: external.revisionOf(storeVersion) }, 'config_older_ignored')
+  }
+
   private noteFailure (reason: string): void {
     this.deps.metrics.count('godwitpoint_config_read_failures_total')
     if (this.failing) return
--- a/src/standin/memory-store.ts
+++ b/src/standin/memory-store.ts
@@ -1,5 +1,6 @@
 /** In-memory versioned object store with faults that tests inject. */
 import { Err, Ok, type Result } from '../errors/index.js'
+import { StoreEras, revisionOf, storeVersion } from '../external/index.js'
 import type { ExpectedVersion, ObjectStore, ReadMode, StoredObject, StoreError, WatchBatch } from '../external/index.js'
 import { delay, type Timers } from '../time/index.js'
 
@@ -25,6 +26,12 @@
   stale: boolean
 }
 
+/** Contents of a store at some moment, to which it can be restored. */
+export interface StoreCopy {
+  readonly objects: ReadonlyMap<string, StoredObject>
+  readonly revision: number
+}
+
 /** Versioned objects with conditional updates and watches. */
 export class MemoryStore implements ObjectStore {
   readonly calls: StoreCalls = { reads: 0, writes: 0, watches: 0 }
@@ -35,7 +42,10 @@
   private staleCopy: Map<string, StoredObject> | undefined
   private staleOkCopy: Map<string, StoredObject> | undefined
   private staleCopyVersion = 0
-  private version = 0
+  private revision = 0
+  private eraNumber = 0
+  /** Eras as the components know them that use this store directly. */
+  readonly eras = new StoreEras()
 
   constructor (private readonly timers: Timers) {}
 
@@ -89,6 +99,51 @@
     this.staleCopyVersion = this.version
   }
 
+  /** Times that the store was restored. */
+  get era (): number {
+    return this.eraNumber
+  }
+
+  /** Copy of the present contents. */
+  copy (): StoreCopy {
+    return { objects: new Map(this.objects), revision: this.revision }
+  }
+
+  /** Returns to earlier contents: what was written since is lost, revisions are given out again, and the era rises. */
+  restore ({ objects, revision }: StoreCopy): void {
+    this.eraNumber++
+    this.revision = revision
+    this.objects.clear()
+    for (const object of objects.values()) this.objects.set(object.key, { ...object, version: storeVersion(this.era, revisionOf(object.version)) })
+    this.deletedVersions.clear()
+    this.notifyWatches()
+  }
+
+  /** The store as a client of its own uses it, which notes the era of each reply in `eras`. */
+  client (eras: StoreEras): ObjectStore {
+    const noteEra = async <T>(reply: Promise<Result<T, StoreError>>): Promise<Result<T, StoreError>> => {
+      const result = await reply
+      if (result.ok || result.val.kind === 'conflict') eras.note(this.era)
+      return result
+    }
+    return {
+      get: async (key, mode) => await noteEra(this.get(key, mode)),
+      list: async (prefix, mode) => await noteEra(this.list(prefix, mode)),
+      put: async (key, value, expected) => await noteEra(this.put(key, value, expected)),
+      delete: async (key, expected) => await noteEra(this.delete(key, expected)),
+      watch: async (prefix, version, waitMs) => await noteEra(this.watch(prefix, version, waitMs))
+    }
+  }
+
+  private get version (): number {
+    return storeVersion(this.era, this.revision)
+  }
+
+  private nextVersion (): number {
+    this.revision++
+    return this.version
+  }
+
   private objectsFor (mode: ReadMode): Map<string, StoredObject> {
     return (mode === 'stale_ok' ? this.staleOkCopy : undefined) ?? this.staleCopy ?? this.objects
   }
@@ -99,16 +154,20 @@
 
   private async respond<T> (read: () => Result<T, StoreError>): Promise<Result<T, StoreError>> {
     await delay(this.timers, this.faults.delayMs)
-    return this.faults.down ? Err({ kind: 'unavailable', message: 'store is down' }) : read()
+    if (this.faults.down) return Err({ kind: 'unavailable', message: 'store is down' })
+    this.eras.note(this.era)
+    return read()
   }
 
   private async write<T> (apply: () => Result<T, StoreError>): Promise<Result<T, StoreError>> {
     await delay(this.timers, this.faults.delayMs / 2)
     if (this.faults.down) return Err({ kind: 'unavailable', message: 'store is down' })
     const outcome = apply()
+    const { era } = this
     const replyLost = this.faults.loseReplies > 0
     if (replyLost) this.faults.loseReplies--
     await delay(this.timers, this.faults.delayMs / 2)
+    if (!replyLost) this.eras.note(era)
     return replyLost ? Err({ kind: 'unknown', message: 'reply lost' }) : outcome
   }
 
@@ -116,7 +175,7 @@
     if (value.length > MAX_VALUE_CHARS) return Err({ kind: 'unavailable', message: 'value too large' })
     const current = this.objects.get(key)
     if ((current?.version ?? 'absent') !== expected) return Err({ kind: 'conflict', message: 'version conflict', current })
-    const object = { key, version: ++this.version, value }
+    const object = { key, version: this.nextVersion(), value }
     this.objects.set(key, object)
     this.deletedVersions.delete(key)
     this.notifyWatches()
@@ -127,7 +186,7 @@
     const current = this.objects.get(key)
     if (current?.version !== expected) return Err({ kind: 'conflict', message: 'version conflict', current })
     this.objects.delete(key)
-    this.deletedVersions.set(key, ++this.version)
+    this.deletedVersions.set(key, this.nextVersion())
     this.notifyWatches()
     return Ok(undefined)
   }
--- a/test/emulator/store-server.ts
+++ b/test/emulator/store-server.ts
@@ -1,5 +1,6 @@
 /** The platform's metadata store and its API for duties, over HTTP. */
 import type * as http from 'node:http'
+import * as external from '../../src/external/index.js'
 import * as standin from '../../src/standin/index.js'
 import * as time from '../../src/time/index.js'
 import * as httpServer from './http-server.js'
@@ -68,6 +69,7 @@
     const url = new URL(req.url ?? '/', 'http://store')
     const body = await httpServer.readJson(req)
     this.calls++
+    res.setHeader('store-era', String(this.store.era))
     if (this.mode === 'silent') return
     if (this.mode === 'busy') { httpServer.sendJson(res, 503, {}); return }
     if (!url.pathname.startsWith('/-/objects/')) { this.handleDuty(req, res, url.pathname, body as Record<string, unknown>); return }
@@ -78,11 +80,11 @@
 
   private async read (res: http.ServerResponse, url: URL, kind: string, name: string): Promise<void> {
     if (url.searchParams.has('watch')) {
-      const batch = await this.store.watch(`${kind}/`, Number(url.searchParams.get('watch')), Number(url.searchParams.get('waitMs')))
+      const batch = await this.store.watch(`${kind}/`, this.versionOf(url.searchParams.get('watch')), Number(url.searchParams.get('waitMs')))
       if (batch.err) { httpServer.sendJson(res, 503, {}); return }
       const changed = batch.val.changes.map((object) => ({ deleted: false, object: encode(object) }))
-      const deleted = batch.val.deleted.map((key) => ({ deleted: true, object: { metadata: { name: key.slice(kind.length + 1), revision: batch.val.version }, spec: null } }))
-      httpServer.sendJson(res, 200, { events: [...changed, ...deleted], asOf: batch.val.version })
+      const deleted = batch.val.deleted.map((key) => ({ deleted: true, object: { metadata: { name: key.slice(kind.length + 1), revision: external.revisionOf(batch.val.version) }, spec: null } }))
+      httpServer.sendJson(res, 200, { events: [...changed, ...deleted], asOf: external.revisionOf(batch.val.version) })
     } else if (name !== '') {
       const object = this.store.peek(`${kind}/${name}`)
       httpServer.sendJson(res, object === undefined ? 404 : 200, object === undefined ? {} : encode(object))
@@ -97,16 +99,20 @@
   private async change (req: http.IncomingMessage, res: http.ServerResponse, url: URL, kind: string, name: string, body: ObjectBody): Promise<void> {
     const key = `${kind}/${name === '' ? body.metadata.name : name}`
     if (req.method === 'DELETE') {
-      const deleted = await this.store.delete(key, Number(url.searchParams.get('revision')))
+      const deleted = await this.store.delete(key, this.versionOf(url.searchParams.get('revision')))
       if (this.mode !== 'lose_writes') httpServer.sendJson(res, deleted.ok ? 200 : 409, {})
       return
     }
-    const put = await this.store.put(key, JSON.stringify(body.spec), req.method === 'POST' ? 'absent' : body.metadata.revision ?? 'absent')
+    const put = await this.store.put(key, JSON.stringify(body.spec), req.method === 'POST' || body.metadata.revision === undefined ? 'absent' : this.versionOf(body.metadata.revision))
     if (this.mode === 'lose_writes') return
     if (put.ok) httpServer.sendJson(res, 200, encode(put.val))
     else httpServer.sendJson(res, 409, put.val.current === undefined ? {} : encode(put.val.current))
   }
 
+  private versionOf (revision: string | number | null): number {
+    return external.storeVersion(this.store.era, Number(revision))
+  }
+
   private handleDuty (req: http.IncomingMessage, res: http.ServerResponse, path: string, body: Record<string, unknown>): void {
     this.duties.push({ path, holder: String(req.headers['duty-holder']), token: Number(req.headers['fence-token']), body, at: this.clock.now() })
     httpServer.sendJson(res, 200, {})
@@ -114,5 +120,5 @@
 }
 
 function encode (object: { key: string, version: number, value: string }): object {
-  return { metadata: { name: object.key.slice(object.key.indexOf('/') + 1), revision: object.version }, spec: JSON.parse(object.value) as unknown, status: null }
+  return { metadata: { name: object.key.slice(object.key.indexOf('/') + 1), revision: external.revisionOf(object.version) }, spec: JSON.parse(object.value) as unknown, status: null }
 }
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -20,7 +20,7 @@
   const env = virtual.env(1)
   const store = new standin.MemoryStore(virtual)
   const decode = (text: string): serving.ServingConfig => configs[text]!
-  const feed = new serving.ConfigFeed({ isReader: () => true, propagationMs: 2_000, env, elapsed: new serving.ElapsedClock(virtual), store, key: KEY, decode, log: log.SILENT_LOGGER, metrics: new metrics.Metrics() })
+  const feed = new serving.ConfigFeed({ isReader: () => true, propagationMs: 2_000, env, elapsed: new serving.ElapsedClock(virtual), store, eras: store.eras, key: KEY, decode, log: log.SILENT_LOGGER, metrics: new metrics.Metrics() })
   const forwarded: string[] = []
   const forwarder = { forward: async (call: { account?: string, checkAuthorization: () => errors.Refusal | undefined }) => { forwarded.push(call.account ?? 'open'); return call.checkAuthorization() } } as unknown as forward.Forwarder
   const subject = new gateway.Gateway({ env, feed, forwarder, bounds: { keyRevocationMs: 5_000, configPropagationMs: 2_000 }, callsEndAt: () => undefined, refusing: () => false })
--- a/test/serving/config-feed.test.ts
+++ b/test/serving/config-feed.test.ts
@@ -1,4 +1,5 @@
 import * as chai from 'chai'
+import * as external from '../../src/external/index.js'
 import * as log from '../../src/log/index.js'
 import * as metrics from '../../src/metrics/index.js'
 import * as serving from '../../src/serving/index.js'
@@ -25,7 +26,7 @@
   const events: string[] = []
   const record = (_: object, event: string): void => { events.push(event) }
   const logger: log.Logger = { debug: record, info: record, warn: record, error: record }
-  const feed = new serving.ConfigFeed({ env, elapsed: new serving.ElapsedClock(clock), store, key: KEY, isReader: () => true, propagationMs: 2_000, decode, log: logger, metrics: new metrics.Metrics() })
+  const feed = new serving.ConfigFeed({ env, elapsed: new serving.ElapsedClock(clock), store, eras: store.eras, key: KEY, isReader: () => true, propagationMs: 2_000, decode, log: logger, metrics: new metrics.Metrics() })
   return { virtual, clock, store, feed, events }
 }
 
@@ -110,3 +111,50 @@
     chai.expect([0, 0.89, 0.91, 0.999].map((draw) => serving.pickService(route, draw))).to.deep.equal(['a', 'a', 'b', 'b'])
   })
 })
+
+// The store of a drill comes back from an older copy: revisions go back, and the operators write their configuration again.
+describe('ConfigFeed after the store has returned from an older copy', () => {
+  async function setUpRestored () {
+    const fixture = setUp()
+    const { virtual, store, feed } = fixture
+    const write = async (text: string): Promise<void> => { await Promise.all([store.put(KEY, text, store.peek(KEY)?.version ?? 'absent'), virtual.advance(10)]) }
+    await write('1')
+    const copy = store.copy()
+    feed.start()
+    for (const version of ['2', '3']) {
+      await write(version)
+      await virtual.advance(1_000)
+    }
+    store.restore(copy)
+    await virtual.advance(1_000)
+    return { ...fixture, write }
+  }
+
+  it('keeps the newer configuration, and does not count the older one as its confirmation', async () => {
+    const { virtual, feed, events } = await setUpRestored()
+    const ageMs = feed.freshness.ageMs
+    await virtual.advance(2_000)
+    chai.expect(feed.current()!.config.version).to.equal(3)
+    chai.expect(feed.freshness.ageMs).to.equal(ageMs + 2_000)
+    chai.expect(events.filter((event) => event === 'config_older_ignored')).to.have.length(1)
+  })
+
+  it('counts the configuration in use as confirmed once it was written again', async () => {
+    const { virtual, feed, events, write } = await setUpRestored()
+    events.length = 0
+    await write('3')
+    await virtual.advance(1_000)
+    chai.expect(feed.freshness.ageMs).to.be.lessThan(1_000)
+    chai.expect(events).not.to.include('config_applied')
+  })
+
+  it('applies a new version within the propagation bound although its revision is lower than that of the one in use', async () => {
+    const { virtual, store, feed, write } = await setUpRestored()
+    await write('3')
+    await virtual.advance(1_000)
+    await write('4')
+    chai.expect(external.revisionOf(store.peek(KEY)!.version)).to.be.at.most(3)
+    await virtual.advance(1_990)
+    chai.expect(feed.current()!.config.version).to.equal(4)
+  })
+})
--- a/test/support/gateway-process.ts
+++ b/test/support/gateway-process.ts
@@ -68,6 +68,7 @@
       },
       env: time.systemEnv(),
       store: this.store,
+      eras: this.store.eras,
       callerProtocol: new callerProtocol.HttpCallerProtocol(),
       targetProtocol: new targetProtocol.HttpTargetProtocol(),
       dutyApi: NO_DUTIES,
--- a/test/support/gateway-region.ts
+++ b/test/support/gateway-region.ts
@@ -3,7 +3,7 @@
 import * as duties from '../../src/duties/index.js'
 import * as errors from '../../src/errors/index.js'
 import * as exchange from '../../src/exchange/index.js'
-import type * as external from '../../src/external/index.js'
+import * as external from '../../src/external/index.js'
 import * as fleet from '../../src/fleet/index.js'
 import * as log from '../../src/log/index.js'
 import * as metrics from '../../src/metrics/index.js'
@@ -55,14 +55,15 @@
     const { virtual } = region
     const env: time.Env = { ...virtual.env(region.seed++), timers: this.gatedTimers(virtual) }
     const elapsed = new serving.ElapsedClock(virtual)
-    const store = this.gatedStore(region.store)
+    const eras = new external.StoreEras()
+    const store = this.gatedStore(region.store.client(eras))
     const peers: peer.Peers = { handle: (method, handler) => { this.handlers.set(method, handler) }, call: async (address, method, params) => await region.call(this, address, method, params) }
     const self = { name, incarnation, front: `${name}:1`, peer: `${name}:2`, domain }
     const silent = log.SILENT_LOGGER
     const isRelay = (): boolean => this.exchange.isRelay
     this.fleet = new fleet.Fleet({ clock: virtual, log: silent, onRemoved: () => {} })
     this.roster = new exchange.Roster({ clock: virtual, log: silent, self })
-    this.feed = new serving.ConfigFeed({ env, elapsed, store, key: CONFIG_KEY, propagationMs: CONFIG_BOUND_MS, isReader: isRelay, decode: (text) => build.aConfig({ version: Number(text) }), log: silent, metrics: new metrics.Metrics() })
+    this.feed = new serving.ConfigFeed({ env, elapsed, store, eras, key: CONFIG_KEY, propagationMs: CONFIG_BOUND_MS, isReader: isRelay, decode: (text) => build.aConfig({ version: Number(text) }), log: silent, metrics: new metrics.Metrics() })
     this.fleetFeed = new fleet.FleetFeed({ env, elapsed, store, prefix: TARGETS_PREFIX, leavePropagationMs: LEAVE_BOUND_MS, shortestExpiryMs: TARGET_EXPIRY_MS, isReader: isRelay, decode: (object) => JSON.parse(object.value) as serving.TargetRecord, fleet: this.fleet, log: silent })
     this.ledger = new duties.UsageLedger({ env, store, name: `${name}.${incarnation}`, windowMs: WINDOW_MS, isRelay, log: silent })
     this.collector = new duties.UsageCollector({ peers, ledger: this.ledger, relayAddresses: () => this.exchange.fellowAddresses() })
@@ -85,7 +86,7 @@
     }
   }
 
-  private gatedStore (store: standin.MemoryStore): external.ObjectStore {
+  private gatedStore (store: external.ObjectStore): external.ObjectStore {
     const read = async <T> (work: () => Promise<errors.Result<T, external.StoreError>>): Promise<errors.Result<T, external.StoreError>> => {
       this.traffic.storeReads++
       return this.storeReachable ? await work() : errors.Err({ kind: 'unavailable', message: 'cut off' })
