Test: a stop drops a request behind a response that has to wait

Fails: 'expected [ 200, 200 ] to have a length of 3 but got 2'. The response to r2 is ready while r1 runs; closeAfter marks the connection as closing when its head is made, although it is written only after r1. r3, sent meanwhile, is read whole and dropped without a log line, and the connection ends 1.1 s later (lossSlackMs is 200).

--- a/test/gateway/caller-connection.test.ts
+++ b/test/gateway/caller-connection.test.ts
@@ -30,4 +30,21 @@
     await Promise.race([caller.closed, time.delay(timers, 4_000)])
     chai.expect(caller.statuses[0]).to.equal(200)
   })
+
+  // Guards against requests that are read and dropped behind a response that says 'close' but has to wait for an earlier one.
+  it('that a stop closes gets a response to each request that was sent before its caller could know of the close', async () => {
+    await using gw = new support.GatewayProcess()
+    await gw.addServer('i-1', (req, res) => respondAfter(req.headers['request-id'] === 'r1' ? 1_500 : 10)(req, res))
+    await gw.start(LONG_CALLS)
+    using caller = gw.connect()
+    caller.send('r1', 'b')
+    await time.delay(timers, 100)
+    const stopped = gw.stop()
+    caller.send('r2', 'b')
+    await time.delay(timers, 300)
+    caller.send('r3', 'b')
+    await caller.closed
+    await stopped
+    chai.expect(caller.statuses).to.have.length(3)
+  })
 })
