Test: an exception while a target is chosen beside a silent one leaves a timer

Fails: 'expected Error: placement failed to equal undefined'. Attempt.watchSilence calls AttemptRace.noteStalled and with it the placer, the budget and the checks of the call from a timer; uncaughtException ends the process (platform/main.ts). The same exception before a first attempt fails one call. The exception is forced; no input is known that causes it.

--- /dev/null
+++ b/test/forward/placement-exception.test.ts
@@ -0,0 +1,14 @@
+import * as chai from 'chai'
+import * as build from '../support/gateway-builders.js'
+import * as fixtures from '../support/forwarder-fixture.js'
+
+describe('An exception in the choice of a target', () => {
+  // Guards against the end of the process, and with it of all calls: an exception that leaves a timer is an uncaught one.
+  it('for an attempt beside a silent one does not leave the timer', async () => {
+    const fixture = fixtures.setUp()
+    fixture.start(build.aCall())
+    fixture.fleet.ofService = () => { throw new Error('placement failed') }
+    const uncaught = await fixture.virtual.advance(400).then(() => undefined, (err: unknown) => err)
+    chai.expect(uncaught).to.equal(undefined)
+  })
+})
