Test: a stream without event ids is continued with a second run from its beginning

Fails: 'expected data: a, data: a, data: b to equal data: a'. Resumption depends on progress.lastId, not on whether the reply has started: the silent attempt is replaced without Last-Event-Id, and that attempt is not exclusive (createAttempt). The protocol demands ids; a target that breaks off takes the same path, also before these changes.

--- a/test/forward/replaced-attempt.test.ts
+++ b/test/forward/replaced-attempt.test.ts
@@ -31,3 +31,19 @@
     chai.expect([fixture.outcome(), fixture.reply.state]).to.deep.equal(['open', 'open'])
   })
 })
+
+describe('A stream that has begun and whose events have no ids', () => {
+  // Guards against pieces of two runs that are joined: without an id the second run starts from the beginning.
+  it('is not continued with a second run', async () => {
+    const fixture = setUp()
+    fixture.start(build.aCall({ route: STREAM }))
+    const [first] = fixture.upstream.sends
+    first!.handler.onHead(200, { 'request-id': 'c1' })
+    first!.handler.onData(Buffer.from('data: a\n\n'))
+    await fixture.virtual.advance(1_600)
+    const second = fixture.upstream.sends[1]
+    second?.handler.onHead(200, { 'request-id': 'c1' })
+    second?.handler.onData(Buffer.from('data: a\n\ndata: b\n\n'))
+    chai.expect(fixture.reply.text).to.equal('data: a\n\n')
+  })
+})
