Test: a stream that the caller resumes after its last event fails

Fails: 'Refusal: stream ended before its first event or within an event' (502) instead of 200 without events. Attempt.endStream takes a complete response without events for a broken one when the head was not sent yet; it costs a retry, counts as a lost target and may suspect its segments.

--- a/test/forward/begun-stream.test.ts
+++ b/test/forward/begun-stream.test.ts
@@ -161,3 +161,16 @@
     })
   }
 })
+
+describe('a stream that the caller resumes after its last event', () => {
+  // Guards against a complete stream that ends as a failure: there is no event left that could begin the response.
+  it('ends as complete when the target has no further event', async () => {
+    const fixture = setUp()
+    fixture.start(build.aCall({ route: STREAM, resumeAfter: '3' }))
+    for (let sent = 0; sent < fixture.upstream.sends.length; sent++) {
+      respond(fixture.upstream.sends[sent]!, 200, '')
+      await fixture.virtual.advance(1)
+    }
+    chai.expect([fixture.outcome(), fixture.reply.status, fixture.reply.state]).to.deep.equal([undefined, 200, 'ended'])
+  })
+})
