Test: the trial of a quarantined segment is used up without a send

Fails: 'expected [ 1, 29098 ] to deeply equal [ 1, undefined ]'. While an attempt is silent, AttemptRace.noteStalled asks every 250 ms for a placement; reasonToStop calls SegmentQuarantine.admit, which takes the trial, before it is known whether there is a target. No call with the segment is admitted for another 30 s, and the silent call gets no second attempt (trials is not empty). If there is a target, the trial runs beside a first attempt. Needs a call that was sent before the quarantine and is silent for 30 s.

--- a/test/forward/silence.test.ts
+++ b/test/forward/silence.test.ts
@@ -280,6 +280,19 @@
     chai.expect(fixture.upstream.sends.slice(before).map((send) => send.aborted)).to.deep.equal([false])
   })
 
+  // Guards against a segment that stays quarantined for longer because its trial was taken and not sent.
+  it('does not use up the trial of a quarantined segment when there is no target for it', async () => {
+    const fixture = setUp({ targets: ONE_TARGET })
+    const prompt = { promptTokens: 9, outputTokens: 1, segments: [{ id: 'bad', tokens: 5 }, { id: 'own', tokens: 4 }] }
+    fixture.start(build.aCall({ prompt, deadlineAt: 60_000, route: build.aRoute({ callerIdleTimeoutMs: 60_000 }) }))
+    for (const target of ['x', 'y', 'z']) {
+      fixture.segments.noteLost({ prompt, target: build.aTarget(target), sentAt: fixture.virtual.now(), firstEventAt: undefined })
+      await fixture.virtual.advance(1)
+    }
+    await fixture.virtual.advance(31_000)
+    chai.expect([fixture.upstream.sends.length, fixture.segments.admit(prompt, new Set())]).to.deep.equal([1, undefined])
+  })
+
   it('is not sent for a stream that the caller resumes, which only one target may work on', async () => {
     const fixture = setUp()
     fixture.start(build.aCall({ route: STREAM, resumeAfter: '1' }))
