Go back to the silent target when the attempt that replaced it fails

Callers saw a stream that broke off, or 502 for a stream that they resumed, with 3.4 s left: after 1.5 s of silence the attempt of a sound target was aborted, the next target refused (not run), and maxTargets (2) was used up.

Cause: maxTargets limited sends, not targets, and nothing led back to the target that was only silent. Change: SentTargets counts different targets against maxTargets. Sends are limited to maxTargets plus one for each replacement of a silent attempt; a call has fewer replacements than maxTargets, so there are fewer than 2 x maxTargets sends. When no other target is left or the next would respond too late, the call goes back to the placement that was replaced last, also while its target is paused, and to targets that it was sent to before once maxTargets targets are reached. Each such send takes a retry from the budget. The checks of a status moved to a module of their own (no change of logic). Ruled out: calls without a replaced attempt; their limit of sends is maxTargets as before.

--- a/src/forward/attempt-race.ts
+++ b/src/forward/attempt-race.ts
@@ -42,10 +42,10 @@
   /** Carries out a run; true once it has delivered a response. */
   readonly execute: (run: Run) => Promise<boolean>
   /**
-   * Where the call may be sent once more now, `beside` a silent attempt or in its place; a retry was taken from the budget
+   * Where the call may be sent once more now, `beside` a silent run or in its place; a retry was taken from the budget
    * for it. Undefined when it may not.
    */
-  readonly reserve: (beside: boolean) => placement.Placement | undefined
+  readonly reserve: (silent: Run, beside: boolean) => placement.Placement | undefined
 }
 
 /** Carries out the runs of one call. */
@@ -92,8 +92,8 @@
   noteStalled (run: Run): void {
     const { attempt, stoppedBy } = run
     if (attempt === undefined || stoppedBy !== undefined || this.successor !== undefined) return
-    if (!attempt.exclusive && this.addBeside()) return
-    if (attempt.isReplaceable) this.replace(attempt)
+    if (!attempt.exclusive && this.addBeside(run)) return
+    if (attempt.isReplaceable) this.replace(run, attempt)
   }
 
   /** Stops all runs; no further one is started. */
@@ -102,17 +102,17 @@
     for (const run of this.runs) run.stop(cause)
   }
 
-  private replace (silent: attempt.Attempt): void {
+  private replace (run: Run, silent: attempt.Attempt): void {
     if (this.runs.size > 1) return
-    this.successor = this.deps.reserve(false)
+    this.successor = this.deps.reserve(run, false)
     if (this.successor === undefined) return
     this.deps.metrics.count('godwitpoint_silent_attempts_replaced_total', `service="${this.deps.service}"`)
     silent.giveUp()
   }
 
-  private addBeside (): boolean {
+  private addBeside (silent: Run): boolean {
     if (this.runs.size >= MAX_PARALLEL) return false
-    const choice = this.deps.reserve(true)
+    const choice = this.deps.reserve(silent, true)
     if (choice === undefined) return false
     this.hedged = true
     this.deps.metrics.count('godwitpoint_hedged_attempts_total', `service="${this.deps.service}"`)
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -9,6 +9,8 @@
 import * as attemptRace from './attempt-race.js'
 import * as attemptRecorder from './attempt-recorder.js'
 import * as callTimes from './call-times.js'
+import * as responseStatus from './response-status.js'
+import * as sentTargets from './sent-targets.js'
 import * as stallTimeouts from './stall-timeouts.js'
 import * as streamProgress from './stream-progress.js'
 
@@ -56,7 +58,7 @@
   private readonly budget: retry.SharedRetryBudget
   private readonly race: attemptRace.AttemptRace
   /** Attempts whose request may have reached a target; they count against the retry budget and the route's `maxTargets`. */
-  private countedAttempts = 0
+  private readonly sent: sentTargets.SentTargets
   private mayHaveExecuted = false
   private endedBy: 'deadline' | 'caller_left' | undefined
   private lastResponse: { head: calls.ResponseHead, body: Uint8Array } | undefined
@@ -68,8 +70,9 @@
     this.progress = new streamProgress.StreamProgress(call, deps.metrics)
     this.times = new callTimes.CallTimes(call, deps.metrics)
     this.recorder = new attemptRecorder.AttemptRecorder(deps, call, this.progress)
+    this.sent = new sentTargets.SentTargets(call.route.maxTargets)
     this.budget = deps.budgetFor(call.service.name)
-    this.race = new attemptRace.AttemptRace({ metrics: deps.metrics, service: call.service.name, execute: async (run) => await this.attemptAt(run), reserve: (beside) => this.reserve(beside) })
+    this.race = new attemptRace.AttemptRace({ metrics: deps.metrics, service: call.service.name, execute: async (run) => await this.attemptAt(run), reserve: (silent, beside) => this.reserve(silent, beside) })
   }
 
   async run (): Promise<errors.Refusal | undefined> {
@@ -104,17 +107,19 @@
     if (stopReason !== undefined) return new NoPlacement(stopReason)
     const choice = this.chooseTarget()
     if (choice === undefined || (beside && choice.prefillTarget !== undefined)) return new NoPlacement('no_target')
-    const lateMs = choice.expectedMs - this.firstEventTimeoutMs
+    const lateMs = this.lateMs(choice)
     if (lateMs > 0) return new NoPlacement('deadline_unreachable', lateMs)
     if (!this.mayAttempt()) return new NoPlacement(this.mayHaveExecuted ? 'target_failed' : 'retry_budget_exhausted')
     return choice
   }
 
-  /** Where the call may be sent while an attempt is silent. A call with a quarantined segment is tried at one target only. */
-  private reserve (beside: boolean): placement.Placement | undefined {
-    if (this.trials.size > 0 || !this.attemptsLeft || this.budget.remaining < 1) return undefined
+  /** Where the call may be sent while a run is silent. A call with a quarantined segment is tried at one target only. */
+  private reserve (silent: attemptRace.Run, beside: boolean): placement.Placement | undefined {
+    if (this.trials.size > 0 || !this.sent.mayReplace(this.race.size) || this.budget.remaining < 1) return undefined
     const next = this.nextPlacement(beside)
-    return next instanceof NoPlacement ? undefined : next
+    if (next instanceof NoPlacement) return undefined
+    if (!beside) this.sent.noteReplaced(silent.choice)
+    return next
   }
 
   private reasonToStop (): errors.Refusal | errors.RefusalReason | undefined {
@@ -134,11 +139,29 @@
 
   private chooseTarget (): placement.Placement | undefined {
     const placer = this.deps.placerFor(this.call)
-    const busyTargets = this.race.targetIds
-    const choice = placer.place(this.call, new Set([...this.triedTargets, ...busyTargets]))
-    if (choice !== undefined || this.triedTargets.size === 0 || !this.mayRetry) return choice
-    // With no other target left, one that failed before may be able to serve the call now.
-    return placer.place(this.call, new Set(busyTargets))
+    const excluded = [...this.race.targetIds, ...this.targetsAboveLimit()]
+    const choice = placer.place(this.call, new Set([...this.triedTargets, ...excluded]))
+    if (this.triedTargets.size === 0 || !this.mayRetry || (choice !== undefined && this.lateMs(choice) <= 0)) return choice
+    // With no other target left, one that was only silent, or that failed before, may be able to serve the call now.
+    return this.takeReplaced() ?? choice ?? placer.place(this.call, new Set(excluded))
+  }
+
+  /** The placement of a silent attempt that was aborted, also when its response is expected late: it would still run. */
+  private takeReplaced (): placement.Placement | undefined {
+    const choice = this.race.size === 0 && this.attemptsLeft ? this.sent.takeReplaced(this.now()) : undefined
+    if (choice === undefined) return undefined
+    this.deps.metrics.count('godwitpoint_returns_to_silent_targets_total', `service="${this.call.service.name}"`)
+    return { ...choice, expectedMs: Math.max(0, Math.min(choice.expectedMs, this.firstEventTimeoutMs)) }
+  }
+
+  /** Targets that the call may not be sent to as it was already sent to `maxTargets` others. */
+  private targetsAboveLimit (): string[] {
+    if (!this.attemptsLeft || this.sent.mayAddTarget(this.race.targetIds)) return []
+    return this.deps.fleet.ofService(this.call.service.name).map((state) => state.record.id).filter((id) => !this.sent.has(id))
+  }
+
+  private lateMs (choice: placement.Placement): number {
+    return choice.expectedMs - this.firstEventTimeoutMs
   }
 
   /** Time within which the first event must arrive: until the deadline or the idle timeout of the caller, in ms. */
@@ -154,11 +177,11 @@
 
   /** Attempts that count, those in flight included. */
   private get usedAttempts (): number {
-    return this.countedAttempts + this.race.size
+    return this.sent.sends + this.race.size
   }
 
   private get attemptsLeft (): boolean {
-    return this.usedAttempts < this.call.route.maxTargets
+    return this.sent.sendsLeft(this.race.size)
   }
 
   private mayAttempt (): boolean {
@@ -190,7 +213,7 @@
     const handle = result.kind === 'answered' && result.head.status === 200 ? this.deps.protocol.decodeKvHandle(result.body) : undefined
     const firstPrefill = handle !== undefined && !this.prefillAccepted
     if (firstPrefill) this.prefillAccepted = true
-    else if (result.kind !== 'not_run' || result.written) this.countedAttempts++
+    else if (result.kind !== 'not_run' || result.written) this.sent.add(target.record.id)
     if (handle !== undefined) {
       this.notePrefilled(target)
       return handle
@@ -202,13 +225,13 @@
   private async executeAt (run: attemptRace.Run, target: fleet.TargetState, kvSource: calls.KvSource | undefined, prefillTarget?: fleet.TargetState): Promise<boolean> {
     const result = await this.send(run, target, kvSource === undefined ? { fetchFrom: run.choice.fetchFrom?.record.address } : { kvSource })
     if (result.kind === 'not_run') {
-      if (result.written) this.countedAttempts++
+      if (result.written) this.sent.add(target.record.id)
       if (prefillTarget !== undefined && result.written) prefillTarget.kvTransferFailedAt = this.now()
       if (kvSource !== undefined && !result.written) this.releaseKvHandle(kvSource)
       this.noteFailure(result, target, 'run')
       return false
     }
-    this.countedAttempts++
+    this.sent.add(target.record.id)
     if (run.stoppedBy === 'other_won') return false
     if (result.kind === 'streamed') {
       this.notePrefilled(target)
@@ -216,14 +239,14 @@
       return true
     }
     this.mayHaveExecuted = true
-    if (result.kind === 'answered' && (this.race.size === 1 || isUsable(result.head.status))) {
+    if (result.kind === 'answered' && (this.race.size === 1 || responseStatus.isUsable(result.head.status))) {
       const delivered = this.handleResponse(result, target)
       if (delivered) this.race.win(run)
       return delivered
     }
     if (result.kind === 'answered') this.lastResponse = result
     this.noteFailure(result, target, 'run')
-    if (!this.mayRetry && this.endedBy === undefined) this.countedAttempts = Infinity
+    if (!this.mayRetry && this.endedBy === undefined) this.sent.close()
     return false
   }
 
@@ -235,7 +258,7 @@
     }
     this.lastResponse = { head: result.head, body: result.body }
     const failed = result.head.status >= 500
-    if (failed && this.call.route.idempotency !== 'non_idempotent' && this.countedAttempts < this.call.route.maxTargets && this.budget.remaining >= 1) {
+    if (failed && this.call.route.idempotency !== 'non_idempotent' && this.sent.sendsLeft(0) && this.budget.remaining >= 1) {
       this.triedTargets.add(target.record.id)
       this.lastMessage = `status ${result.head.status}`
       this.deps.log.info({ id: this.call.id, target: target.record.id, status: result.head.status }, 'call_repeated')
@@ -313,7 +336,7 @@
   }
 
   private deliver (response: { head: calls.ResponseHead, body: Uint8Array }): void {
-    if (impliesNotExecuted(response.head.status)) this.reply.send({ ...response.head, status: 502, headers: [] }, new Uint8Array(0))
+    if (responseStatus.impliesNotExecuted(response.head.status)) this.reply.send({ ...response.head, status: 502, headers: [] }, new Uint8Array(0))
     else this.reply.send(response.head, response.body)
   }
 
@@ -362,14 +385,3 @@
     return this.deps.env.clock.now()
   }
 }
-
-/** Whether a response with this status ends a call while another attempt is running. */
-function isUsable (status: number): boolean {
-  return status < 500 && !impliesNotExecuted(status)
-}
-
-// Callers take these statuses to mean that the call was not executed. A target's response with such a status and
-// without an explicit report that the call was not executed does not guarantee that, so it must not be relayed.
-function impliesNotExecuted (status: number): boolean {
-  return status === 408 || status === 421 || status === 429 || status === 503
-}
--- a/test/forward/replaced-attempt.test.ts
+++ b/test/forward/replaced-attempt.test.ts
@@ -30,6 +30,57 @@
     await fixture.virtual.advance(100)
     chai.expect([fixture.outcome(), fixture.reply.state]).to.deep.equal(['open', 'open'])
   })
+
+  // Guards against a call that is sent to more servers than maxTargets.
+  it('goes on at the silent target when two of three targets may be tried', async () => {
+    const fixture = setUp({ targets: ['a', 'b', 'c'].map((id) => build.aTarget(id)) })
+    fixture.start(build.aCall({ route: STREAM, resumeAfter: '1' }))
+    await fixture.virtual.advance(1_600)
+    respond(fixture.upstream.sends[1]!, 503, '', { 'not-executed': '1' })
+    await fixture.virtual.advance(1)
+    const addresses = fixture.upstream.sends.map((send) => send.req.address)
+    chai.expect([addresses.length, addresses[2] === addresses[0], addresses[1] === addresses[0]]).to.deep.equal([3, true, false])
+  })
+
+  // Guards against sends without a bound when all targets refuse.
+  it('is sent three times at most when two targets may be tried', async () => {
+    const fixture = setUp()
+    fixture.start(build.aCall({ route: STREAM, resumeAfter: '1' }))
+    await fixture.virtual.advance(1_600)
+    for (let sent = 1; sent < fixture.upstream.sends.length && sent < 9; sent++) {
+      respond(fixture.upstream.sends[sent]!, 503, '', { 'not-executed': '1' })
+      await fixture.virtual.advance(100)
+    }
+    chai.expect([fixture.upstream.sends.length, typeof fixture.outcome()]).to.deep.equal([3, 'object'])
+  })
+
+  // Guards against a further target that is not counted because the silent one was sent to twice.
+  it('goes on at a third target when the second one and then the silent one refuse', async () => {
+    const fixture = setUp({ targets: [build.aTarget('a'), build.aTarget('b')] })
+    fixture.start(build.aCall({ route: { ...STREAM, maxTargets: 3 }, resumeAfter: '1' }))
+    await fixture.virtual.advance(1_600)
+    respond(fixture.upstream.sends[1]!, 503, '', { 'not-executed': '1' })
+    await fixture.virtual.advance(1)
+    fixture.fleet.apply(['a', 'b', 'c'].map((id) => build.aTarget(id)))
+    respond(fixture.upstream.sends[2]!, 503, '', { 'not-executed': '1' })
+    await fixture.virtual.advance(1)
+    chai.expect(new Set(fixture.upstream.sends.map((send) => send.req.address)).size).to.equal(3)
+  })
+
+  for (const [name, end] of [['refuses', (send: build.RecordedSend) => respond(send, 503, '', { 'not-executed': '1' })], ['breaks off', (send: build.RecordedSend) => send.handler.onError({ written: true, message: 'reset' })], ['cannot be reached', (send: build.RecordedSend) => send.handler.onError({ written: false, message: 'refused' })], ['answers 500', (send: build.RecordedSend) => respond(send, 500, 'boom')]] as const) {
+    it(`goes on at the silent target, also while that is paused, when the next one ${name}`, async () => {
+      const fixture = setUp()
+      fixture.start(build.aCall({ route: STREAM, resumeAfter: '1' }))
+      await fixture.virtual.advance(1_600)
+      const now = fixture.virtual.now()
+      const silent = fixture.fleet.ofService('s').find((state) => state.record.address === fixture.upstream.sends[0]!.req.address)!
+      silent.failures.record('unreachable', now, now)
+      end(fixture.upstream.sends[1]!)
+      await fixture.virtual.advance(1)
+      chai.expect(fixture.upstream.sends.map((send) => send.req.address)[2]).to.equal(silent.record.address)
+      chai.expect(silent.acceptsCalls(now)).to.equal(false)
+    })
+  }
 })
 
 describe('A stream that has begun and whose events have no ids', () => {
