Replace a silent prefill also when there is one mixed engine

Callers waited for a dead prefill engine until their deadline while another prefill engine and the mixed engine were idle. Change: a run names the one target that works on the call now. Two targets still do not work on one call at once: an attempt with a prefill is exclusive, so it is aborted before the next one starts.

Evidence: test/forward/silent-prefill.test.ts failed before ('condition not met within 50000 ms of virtual time') and passes now.

--- a/src/forward/attempt-race.ts
+++ b/src/forward/attempt-race.ts
@@ -19,14 +19,16 @@
   attempt: attempt.Attempt | undefined
   /** Set once the gateway has stopped the run; nothing may be sent for it any more. */
   stoppedBy: StopCause | undefined
+  /** Whether the attempt in flight is the prefill. */
+  prefilling = false
 
   /** `beside` tells whether the run was started while another one was silent. */
   constructor (readonly choice: placement.Placement, readonly beside: boolean) {}
 
-  /** Ids of the targets of the run. */
-  get targetIds (): string[] {
+  /** Id of the target that works on the call now; the one that generates is idle until the prompt is prefilled. */
+  get targetId (): string {
     const { target, prefillTarget } = this.choice
-    return prefillTarget === undefined ? [target.record.id] : [target.record.id, prefillTarget.record.id]
+    return this.prefilling && prefillTarget !== undefined ? prefillTarget.record.id : target.record.id
   }
 
   stop (cause: StopCause): void {
@@ -68,7 +70,7 @@
 
   /** Ids of the targets that work on the call. */
   get targetIds (): string[] {
-    return [...this.runs].flatMap((run) => run.targetIds)
+    return [...this.runs].map((run) => run.targetId)
   }
 
   /** Carries out a placement, and others beside it or in its place while it is silent; true once a response was delivered. */
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -209,7 +209,9 @@
   }
 
   private async prefillAt (run: attemptRace.Run, target: fleet.TargetState): Promise<string | undefined> {
+    run.prefilling = true
     const result = await this.send(run, target, { prefillOnly: true, fetchFrom: run.choice.fetchFrom?.record.address })
+    run.prefilling = false
     const handle = result.kind === 'answered' && result.head.status === 200 ? this.deps.protocol.decodeKvHandle(result.body) : undefined
     const firstPrefill = handle !== undefined && !this.prefillAccepted
     if (firstPrefill) this.prefillAccepted = true
