Keep an exception in the choice of a target from ending the process

All callers of a process would have lost their calls: an exception of the placer, the budget or the checks of a call, while a silent attempt asks for another one, left a timer as an uncaught exception, or a promise as an unhandled rejection when another attempt had ended. The exception is forced in the tests; no input is known that causes it. Change: AttemptRace catches it, counts it, logs placement_failed once a call and asks no more for this call. The silent attempt goes on, as silence is no reason to end an answer. An exception at the end of a run fails only its call.

--- a/src/forward/attempt-race.ts
+++ b/src/forward/attempt-race.ts
@@ -3,6 +3,7 @@
  * first usable response wins. Where two targets must not work on the call at once, the silent attempt is aborted first, and
  * only when another can be sent in its place. Without one, silence ends no attempt.
  */
+import type * as log from '../log/index.js'
 import type * as metrics from '../metrics/index.js'
 import type * as placement from '../placement/index.js'
 import type * as attempt from './attempt.js'
@@ -41,6 +42,8 @@
 export interface RaceDeps {
   readonly metrics: Pick<metrics.Metrics, 'count'>
   readonly service: string
+  readonly callId: string
+  readonly log: log.Logger
   /** Carries out a run; true once it has delivered a response. */
   readonly execute: (run: Run) => Promise<boolean>
   /**
@@ -55,6 +58,8 @@
   private readonly runs = new Set<Run>()
   /** Placement of the run that follows a silent one as soon as that has ended. */
   private successor: placement.Placement | undefined
+  /** Set once a placement for the call has thrown: it goes on with the attempts that it has. */
+  private reserveFailed = false
   private hedged = false
   private winner: Run | undefined
   private delivered = false
@@ -106,7 +111,7 @@
 
   private replace (run: Run, silent: attempt.Attempt): void {
     if (this.runs.size > 1) return
-    this.successor = this.deps.reserve(run, false)
+    this.successor = this.reserve(run, false)
     if (this.successor === undefined) return
     this.deps.metrics.count('godwitpoint_silent_attempts_replaced_total', `service="${this.deps.service}"`)
     silent.giveUp()
@@ -114,7 +119,7 @@
 
   private addBeside (silent: Run): boolean {
     if (this.runs.size >= MAX_PARALLEL) return false
-    const choice = this.deps.reserve(silent, true)
+    const choice = this.reserve(silent, true)
     if (choice === undefined) return false
     this.hedged = true
     this.deps.metrics.count('godwitpoint_hedged_attempts_total', `service="${this.deps.service}"`)
@@ -122,10 +127,23 @@
     return true
   }
 
+  // Called from a timer, where an exception would end the process. Without a further attempt the silent one goes on.
+  private reserve (silent: Run, beside: boolean): placement.Placement | undefined {
+    if (this.reserveFailed) return undefined
+    try {
+      return this.deps.reserve(silent, beside)
+    } catch (err) {
+      this.reserveFailed = true
+      this.deps.metrics.count('godwitpoint_failed_placements_total', `service="${this.deps.service}"`)
+      this.deps.log.error({ err, id: this.deps.callId }, 'placement_failed')
+      return undefined
+    }
+  }
+
   private start (choice: placement.Placement, beside: boolean): void {
     const run = new Run(choice, beside)
     this.runs.add(run)
-    this.deps.execute(run).then((delivered) => this.noteEnded(run, delivered), (err: unknown) => this.fail(err))
+    this.deps.execute(run).then((delivered) => this.noteEnded(run, delivered)).catch((err: unknown) => this.fail(err))
   }
 
   private noteEnded (run: Run, delivered: boolean): void {
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -72,7 +72,7 @@
     this.recorder = new attemptRecorder.AttemptRecorder(deps, call, this.progress)
     this.sent = new sentTargets.SentTargets(call.route.maxTargets)
     this.budget = deps.budgetFor(call.service.name)
-    this.race = new attemptRace.AttemptRace({ metrics: deps.metrics, service: call.service.name, execute: async (run) => await this.attemptAt(run), reserve: (silent, beside) => this.reserve(silent, beside) })
+    this.race = new attemptRace.AttemptRace({ metrics: deps.metrics, service: call.service.name, callId: call.id, log: deps.log, execute: async (run) => await this.attemptAt(run), reserve: (silent, beside) => this.reserve(silent, beside) })
   }
 
   async run (): Promise<errors.Refusal | undefined> {
--- a/test/forward/placement-exception.test.ts
+++ b/test/forward/placement-exception.test.ts
@@ -11,4 +11,16 @@
     const uncaught = await fixture.virtual.advance(400).then(() => undefined, (err: unknown) => err)
     chai.expect(uncaught).to.equal(undefined)
   })
+
+  // Guards against a call that is lost with the exception, and against a log line every 250 ms.
+  it('is logged once, and the silent attempt goes on', async () => {
+    const fixture = fixtures.setUp()
+    fixture.start(build.aCall())
+    fixture.fleet.ofService = () => { throw new Error('placement failed') }
+    await fixture.virtual.advance(3_000)
+    chai.expect(fixture.lines.filter((line) => line.event === 'placement_failed').map((line) => line.fields['id'])).to.deep.equal(['c1'])
+    fixtures.respond(fixture.upstream.sends[0]!, 200, 'good')
+    await fixture.virtual.advance(1)
+    chai.expect([fixture.reply.text, fixture.reply.state]).to.deep.equal(['good', 'ended'])
+  })
 })
