Do not resume a stream whose events have no ids

Callers got the start of the stream twice: the attempt that was to resume it was sent without Last-Event-Id and ran from the start, and pieces of two runs were joined. With ids on some events only, those without one came twice. Cause: the checks before a further attempt did not ask whether the relayed events show where it has to go on. Change: once an event with data and without an id was relayed, the call is sent to no further target. A silent attempt goes on; when the target fails, the stream breaks off. Comments without an id change nothing.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -198,7 +198,7 @@
     if (batch === undefined) return
     this.noteFirstEvent()
     if (!reply.started) reply.start(this.responseHead!)
-    progress.noteRelayed(batch.lastId, this.lastByteAt)
+    progress.noteRelayed(batch, this.lastByteAt)
     if (reply.write(batch.bytes)) return
     this.pauseUntilDrained(reply)
   }
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -126,6 +126,8 @@
     if (this.endedBy === 'deadline') return 'deadline_exceeded'
     if (this.endedBy === 'caller_left') return 'caller_disconnected'
     if (this.call.deadlineAt - this.now() < MIN_SEND_MS) return 'deadline_unreachable'
+    // Another attempt would run from the start, and pieces of two runs would be joined.
+    if (!this.progress.isResumable) return 'target_failed'
     // A stream that has begun was accepted before the change, and its events show that its prompt lets engines begin to respond.
     if (this.reply.started) return undefined
     return this.call.checkAuthorization() ?? this.checkQuarantine()
--- a/src/forward/stream-progress.ts
+++ b/src/forward/stream-progress.ts
@@ -1,11 +1,13 @@
 /** Part of a stream that was relayed to the caller, over all attempts. */
 import type * as calls from '../call/index.js'
 import type * as metrics from '../metrics/index.js'
+import type * as eventSplitter from './event-splitter.js'
 
 /** Position in a stream; records the time to the first event and between events, in ms. */
 export class StreamProgress {
   private relayedId: string | undefined
   private relayedAt: number | undefined
+  private positionKnown = true
   private readonly label: string
   /** Longest time between two events so far, in ms; 0 before the second. */
   longestGapMs = 0
@@ -25,11 +27,17 @@
     return this.relayedAt
   }
 
-  /** Notes that events up to `id` were relayed. */
-  noteRelayed (id: string | undefined, now: number): void {
+  /** Whether the relayed events show where a further attempt has to go on: all of them have ids. */
+  get isResumable (): boolean {
+    return this.positionKnown
+  }
+
+  /** Notes that events were relayed. */
+  noteRelayed ({ lastId, allHaveIds }: eventSplitter.EventBatch, now: number): void {
     if (this.relayedAt === undefined) this.metrics.recordDuration('godwitpoint_first_token', now - this.call.arrivedAt, this.label)
     else this.noteGap(now - this.relayedAt)
-    this.relayedId = id ?? this.relayedId
+    this.relayedId = lastId ?? this.relayedId
+    if (!allHaveIds) this.positionKnown = false
     this.relayedAt = now
   }
 
--- a/test/forward/replaced-attempt.test.ts
+++ b/test/forward/replaced-attempt.test.ts
@@ -97,4 +97,27 @@
     second?.handler.onData(Buffer.from('data: a\n\ndata: b\n\n'))
     chai.expect(fixture.reply.text).to.equal('data: a\n\n')
   })
+
+  for (const events of ['data: a\n\n', 'id: 1\ndata: a\n\ndata: b\n\n']) {
+    it(`breaks off when its target does (${JSON.stringify(events)})`, async () => {
+      const fixture = setUp()
+      fixture.start(build.aCall({ route: STREAM }))
+      const [first] = fixture.upstream.sends
+      first!.handler.onHead(200, { 'request-id': 'c1' })
+      first!.handler.onData(Buffer.from(events))
+      first!.handler.onError({ written: true, message: 'reset' })
+      await fixture.virtual.advance(1)
+      chai.expect([fixture.upstream.sends.length, fixture.reply.state, fixture.reply.text]).to.deep.equal([1, 'aborted', events])
+    })
+  }
+
+  it('is resumed when only comments have no ids', async () => {
+    const fixture = setUp()
+    fixture.start(build.aCall({ route: STREAM }))
+    beginStream(fixture.upstream.sends[0]!, 1)
+    fixture.upstream.sends[0]!.handler.onData(Buffer.from(': wait\n\n'))
+    fixture.upstream.sends[0]!.handler.onError({ written: true, message: 'reset' })
+    await fixture.virtual.advance(1)
+    chai.expect(fixture.upstream.sends[1]!.req.headers.join(' ')).to.contain('last-event-id 1')
+  })
 })
