Take the trial of a quarantined segment only for a send

Callers with the segment were refused for another 30 s although no trial had been sent: a silent attempt asked every 250 ms for another placement and took the trial before it was known whether there was a target; so did calls without a target, time or retry, calls whose only target could not be reached, and calls with a second segment whose trial was not due. Change: SegmentQuarantine.waitMs tells whether a call may be sent and starts nothing; admit takes trials when all of them may start, and the forwarder calls it after target, time and retry are sure. A call that was never written returns its trials. A call with a quarantined segment gets no attempt beside or instead of a silent one, so that a trial is not the second attempt of a call. The log line of a stream that broke off moved to AttemptRecorder (no change of logic). The stub in test/replay/crashing-segment.test.ts has the new methods; its checks are unchanged.

--- a/src/forward/attempt-recorder.ts
+++ b/src/forward/attempt-recorder.ts
@@ -1,5 +1,6 @@
 /** What one attempt tells: about its target, about the segments of its prompt, and for metrics and logs. */
 import type * as calls from '../call/index.js'
+import type * as errors from '../errors/index.js'
 import * as fleet from '../fleet/index.js'
 import type * as log from '../log/index.js'
 import type * as metrics from '../metrics/index.js'
@@ -44,6 +45,15 @@
   readonly tokensAhead: number
 }
 
+/** Why a stream broke off after it had begun. */
+export interface BrokenOffStream {
+  readonly reason: errors.RefusalReason
+  readonly detail: string
+  readonly targetsTried: number
+  /** Version of the configuration in force; undefined before the first. */
+  readonly configVersion: number | undefined
+}
+
 /** Records the attempts of one call. */
 export class AttemptRecorder {
   constructor (private readonly deps: RecorderDeps, private readonly call: calls.Call, private readonly progress: streamProgress.StreamProgress) {}
@@ -70,6 +80,25 @@
     this.deps.log.info({ id: this.call.id, target: state.record.id, phase, kind: result.kind, reason: message, silent_ms: result.kind === 'failed' ? result.silentMs : undefined, target_silent_ms: result.kind === 'failed' ? result.targetSilentMs : undefined, resumed_after: this.progress.lastId, segments: result.kind === 'failed' ? sharedSegmentIds(this.call) : undefined }, 'attempt_failed')
   }
 
+  /** Counts and logs a stream that ends without its last event. */
+  noteBrokenOff ({ reason, detail, targetsTried, configVersion }: BrokenOffStream): void {
+    const { call, progress } = this
+    const now = this.deps.env.clock.now()
+    this.deps.metrics.count('godwitpoint_streams_broken_off_total', `reason="${reason}"`)
+    this.deps.log.warn({
+      id: call.id,
+      route: call.route.name,
+      reason,
+      detail,
+      targets_tried: targetsTried,
+      relayed_to: progress.lastId,
+      silent_ms: Math.round(now - (progress.lastRelayedAt ?? call.arrivedAt)),
+      left_ms: Math.round(call.deadlineAt - now),
+      config_version: call.configVersion,
+      current_config_version: configVersion
+    }, 'stream_broken_off')
+  }
+
   private countPlacement ({ run: { choice }, options, listAgeMs, missingMs }: SentAttempt): void {
     const { metrics } = this.deps
     metrics.count('godwitpoint_placements_total', `phase="${phaseOf(options)}",in_time="${choice.priority < fleet.FIRST_DEFERRED_PRIORITY}"`)
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -25,7 +25,7 @@
 export interface ForwarderDeps extends attempt.AttemptDeps, attemptRecorder.RecorderDeps {
   readonly placerFor: (call: calls.Call) => placement.Placer
   readonly budgetFor: (service: string) => retry.SharedRetryBudget
-  readonly quarantine: Pick<quarantine.SegmentQuarantine, 'admit' | 'noteLost' | 'noteAnswered'>
+  readonly quarantine: Pick<quarantine.SegmentQuarantine, 'admit' | 'waitMs' | 'isBarred' | 'returnTrials' | 'noteLost' | 'noteAnswered'>
   /** Age of the list of targets, in ms. */
   readonly listAgeMs: () => number
   /** Version of the configuration in force; undefined before the first. */
@@ -52,6 +52,8 @@
   private readonly triedTargets = new Set<string>()
   /** Quarantined segments of which this call is the trial; until its next attempt has ended. */
   private readonly trials = new Set<string>()
+  /** Whether a send of this call may have reached a target. */
+  private wasSent = false
   private readonly progress: streamProgress.StreamProgress
   private readonly times: callTimes.CallTimes
   private readonly recorder: attemptRecorder.AttemptRecorder
@@ -87,6 +89,7 @@
       timer[Symbol.dispose]()
       this.signal.removeEventListener('abort', onCallerLeft)
       this.times.finish(this.now())
+      if (!this.wasSent) this.deps.quarantine.returnTrials(this.trials)
     }
   }
 
@@ -110,12 +113,16 @@
     const lateMs = this.lateMs(choice)
     if (lateMs > 0) return new NoPlacement('deadline_unreachable', lateMs)
     if (!this.mayAttempt()) return new NoPlacement(this.mayHaveExecuted ? 'target_failed' : 'retry_budget_exhausted')
+    // A trial is taken only for a send.
+    if (this.call.prompt !== undefined && !this.reply.started) this.deps.quarantine.admit(this.call.prompt, this.trials)
     return choice
   }
 
   /** Where the call may be sent while a run is silent. A call with a quarantined segment is tried at one target only. */
   private reserve (silent: attemptRace.Run, beside: boolean): placement.Placement | undefined {
-    if (this.trials.size > 0 || !this.sent.mayReplace(this.race.size) || this.budget.remaining < 1) return undefined
+    const { prompt } = this.call
+    if (this.trials.size > 0 || (prompt !== undefined && !this.reply.started && this.deps.quarantine.isBarred(prompt, this.trials))) return undefined
+    if (!this.sent.mayReplace(this.race.size) || this.budget.remaining < 1) return undefined
     const next = this.nextPlacement(beside)
     if (next instanceof NoPlacement) return undefined
     if (!beside) this.sent.noteReplaced(silent.choice)
@@ -135,7 +142,7 @@
 
   private checkQuarantine (): errors.Refusal | undefined {
     const { prompt } = this.call
-    const retryAfterMs = prompt === undefined ? undefined : this.deps.quarantine.admit(prompt, this.trials)
+    const retryAfterMs = prompt === undefined ? undefined : this.deps.quarantine.waitMs(prompt, this.trials)
     return retryAfterMs === undefined ? undefined : new errors.Refusal('segment_quarantined', { step: 'route', ran: 'no', retryAfterMs })
   }
 
@@ -292,7 +299,10 @@
     const result = await sent.attempt.run()
     run.attempt = undefined
     this.times.endAttempt(this.now())
-    if (options.prefillOnly !== true) this.trials.clear()
+    if (result.kind !== 'not_run' || result.written) {
+      this.wasSent = true
+      if (options.prefillOnly !== true) this.trials.clear()
+    }
     this.recorder.noteEnded(sent, result)
     return result
   }
@@ -347,7 +357,12 @@
   /** Ends the call without success: aborts a started stream, delivers the last error response, or refuses. */
   private giveUp (stopReason: errors.RefusalReason | errors.Refusal, lateMs = 0): errors.Refusal | undefined {
     if (this.reply.started) {
-      this.logBrokenOff(stopReason instanceof errors.Refusal ? stopReason.reason : stopReason)
+      this.recorder.noteBrokenOff({
+        reason: stopReason instanceof errors.Refusal ? stopReason.reason : stopReason,
+        detail: this.lastMessage,
+        targetsTried: this.triedTargets.size,
+        configVersion: this.deps.configVersion()
+      })
       this.reply.abort()
       return undefined
     }
@@ -367,24 +382,6 @@
     })
   }
 
-  private logBrokenOff (reason: errors.RefusalReason): void {
-    const { call, progress } = this
-    const now = this.now()
-    this.deps.metrics.count('godwitpoint_streams_broken_off_total', `reason="${reason}"`)
-    this.deps.log.warn({
-      id: call.id,
-      route: call.route.name,
-      reason,
-      detail: this.lastMessage,
-      targets_tried: this.triedTargets.size,
-      relayed_to: progress.lastId,
-      silent_ms: Math.round(now - (progress.lastRelayedAt ?? call.arrivedAt)),
-      left_ms: Math.round(call.deadlineAt - now),
-      config_version: call.configVersion,
-      current_config_version: this.deps.configVersion()
-    }, 'stream_broken_off')
-  }
-
   private now (): number {
     return this.deps.env.clock.now()
   }
--- a/src/quarantine/segment-quarantine.ts
+++ b/src/quarantine/segment-quarantine.ts
@@ -90,14 +90,32 @@
    * Ids of quarantined segments of which the call becomes the trial are added to `trials`; they no longer keep it back.
    */
   admit (prompt: calls.Prompt, trials: Set<string>): number | undefined {
-    let waitMs: number | undefined
-    for (const id of sharedIds(prompt)) {
+    const waitMs = this.waitMs(prompt, trials)
+    if (waitMs !== undefined) return waitMs
+    for (const suspect of this.quarantinedOf(prompt, trials)) {
+      this.startTrial(suspect)
+      trials.add(suspect.told.id)
+    }
+    return undefined
+  }
+
+  /** Takes back trials that were not sent, so that another call may become the trial. */
+  returnTrials (trials: ReadonlySet<string>): void {
+    for (const id of trials) {
       const suspect = this.suspects.get(id)
-      if (suspect === undefined || !isQuarantined(suspect) || trials.has(id)) continue
-      if (this.startTrial(suspect)) trials.add(id)
-      else waitMs = Math.max(waitMs ?? 0, this.trialDueAt(suspect) - this.now())
+      if (suspect !== undefined) this.suspects.set(id, { ...suspect, trialAt: -Infinity })
     }
-    return waitMs === undefined ? undefined : Math.max(0, waitMs)
+  }
+
+  /** What {@link admit} would return now; starts no trial. */
+  waitMs (prompt: calls.Prompt, trials: ReadonlySet<string>): number | undefined {
+    const barred = this.quarantinedOf(prompt, trials).filter((suspect) => !this.mayStartTrial(suspect))
+    return barred.length === 0 ? undefined : Math.max(0, ...barred.map((suspect) => this.trialDueAt(suspect) - this.now()))
+  }
+
+  /** Whether a segment of the prompt is quarantined, but for those of which the call is the trial. */
+  isBarred (prompt: calls.Prompt, trials: ReadonlySet<string>): boolean {
+    return this.quarantinedOf(prompt, trials).length > 0
   }
 
   /** Notes that a target closed the connection of an attempt that executed a call. */
@@ -203,13 +221,19 @@
     return hash.rendezvous(id, this.deps.gateways(), 1)[0] === this.deps.selfName
   }
 
-  private startTrial (suspect: Suspect): boolean {
-    const now = this.now()
+  private quarantinedOf (prompt: calls.Prompt, trials: ReadonlySet<string>): Suspect[] {
+    const ids = new Set(sharedIds(prompt).filter((id) => !trials.has(id)))
+    return [...ids].flatMap((id) => this.suspects.get(id) ?? []).filter(isQuarantined)
+  }
+
+  private mayStartTrial (suspect: Suspect): boolean {
+    return this.now() >= this.trialDueAt(suspect) && this.isResponsibleFor(suspect.told.id)
+  }
+
+  private startTrial (suspect: Suspect): void {
     const { id } = suspect.told
-    if (now < this.trialDueAt(suspect) || !this.isResponsibleFor(id)) return false
-    this.suspects.set(id, { ...suspect, trialAt: now })
+    this.suspects.set(id, { ...suspect, trialAt: this.now() })
     this.deps.log.info({ segment: id, crashes: suspect.told.crashes.length }, 'segment_trial')
-    return true
   }
 
   private trialDueAt (suspect: Suspect): number {
--- a/test/quarantine/segment-quarantine.test.ts
+++ b/test/quarantine/segment-quarantine.test.ts
@@ -154,6 +154,21 @@
     chai.expect(gateway.admit(promptOf('bad'), trials)).to.be.greaterThan(0)
   })
 
+  // Guards against a trial that is used up by a call that another segment keeps back.
+  it('takes no trial for a call with another segment whose trial is not due', async () => {
+    const virtual = new time.VirtualTime()
+    const segments = new quarantine.SegmentQuarantine({ clock: virtual, selfName: 'g0', gateways: () => ['g0'], log: log.SILENT_LOGGER })
+    for (const id of ['old', 'new']) {
+      for (const target of ['x', 'y', 'z']) {
+        segments.noteLost({ prompt: promptOf(id), target: build.aTarget(`${id}-${target}`), sentAt: virtual.now(), firstEventAt: undefined })
+        await virtual.advance(1)
+      }
+      if (id === 'old') await virtual.advance(FIRST_TRIAL_MS)
+    }
+    chai.expect(segments.admit(promptOf('old', 'new'), new Set())).to.be.greaterThan(0)
+    chai.expect(segments.admit(promptOf('old'), new Set())).to.equal(undefined)
+  })
+
   it('tells a gateway that has just started all quarantined segments, in messages of bounded size', async () => {
     const region = new QuarantineRegion()
     const ids = Array.from({ length: 450 }, (_, index) => `bad-${index}`)
--- a/test/replay/crashing-segment.test.ts
+++ b/test/replay/crashing-segment.test.ts
@@ -146,7 +146,7 @@
     const fleet = build.aFleet(this.virtual, RECORDS)
     const placer = new placement.EnginePlacer(fleet, env, 'd1', () => GATEWAYS.length)
     const budget = new retry.SharedRetryBudget(this.virtual, { ratio: 0.2, slack: 50, windowMs: 10_000 }, () => GATEWAYS.length)
-    const none = { admit: () => undefined, noteLost: () => {}, noteAnswered: () => {} }
+    const none = { admit: () => undefined, waitMs: () => undefined, isBarred: () => false, returnTrials: () => {}, noteLost: () => {}, noteAnswered: () => {} }
     return new forward.Forwarder({
       env,
       upstream: this.engines,
