Deliver an empty stream to a caller that resumes after the last event

A caller that resumed a complete stream got 502: a complete 200 response without an event counted as a stream that ended before its first event; it cost a retry and counted as a failure of the target. Change: when the call resumes (Last-Event-Id of the caller) and the response ends without a partial event, it is delivered as it is.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -222,6 +222,7 @@
 
   private endStream (): void {
     const { reply } = this.spec.stream!
+    if (this.splitter.pendingBytes === 0 && this.spec.call.resumeAfter !== undefined) this.beginEmptyStream(reply)
     if (this.splitter.pendingBytes > 0 || !reply.started) {
       this.settle(this.failure('stream ended before its first event or within an event', 'disconnected'))
       return
@@ -229,6 +230,14 @@
     this.settle({ kind: 'streamed' })
   }
 
+  // The caller already has all events of the stream that it resumes. Without an event, no time to the first one is known.
+  private beginEmptyStream (reply: calls.Reply): void {
+    if (reply.started) return
+    this.spec.events.onFirstEvent()
+    this.deps.onExecution(this.spec.call)
+    reply.start(this.responseHead!)
+  }
+
   private endBuffered (): void {
     const head = this.responseHead!
     if (head.notExecuted) {
--- a/test/forward/begun-stream.test.ts
+++ b/test/forward/begun-stream.test.ts
@@ -172,5 +172,19 @@
       await fixture.virtual.advance(1)
     }
     chai.expect([fixture.outcome(), fixture.reply.status, fixture.reply.state]).to.deep.equal([undefined, 200, 'ended'])
+    chai.expect([fixture.upstream.sends.length, fixture.executed]).to.deep.equal([1, ['c1']])
   })
+
+  // Guards against an incomplete response that looks complete.
+  for (const [name, resumeAfter, body] of [['is empty and the call does not resume one', undefined, ''], ['ends within an event', '3', 'id: 4\ndata']] as const) {
+    it(`fails when the stream of the target ${name}`, async () => {
+      const fixture = setUp()
+      fixture.start(build.aCall({ route: STREAM, ...(resumeAfter === undefined ? {} : { resumeAfter }) }))
+      for (let sent = 0; sent < fixture.upstream.sends.length; sent++) {
+        respond(fixture.upstream.sends[sent]!, 200, body)
+        await fixture.virtual.advance(1)
+      }
+      chai.expect([fixture.upstream.sends.length, (fixture.outcome() as errors.Refusal).reason, fixture.reply.started]).to.deep.equal([2, 'target_failed', false])
+    })
+  }
 })
