Do not join a response of another content type to a stream that has begun

Callers would get a page or a JSON document within their stream, which then ended as complete: a second target that answered the resume with status 200 was joined whatever its content type. Change: a response with status 200 whose media type (without parameters and case; none is another one) differs from that of the response that has begun is malformed. The attempt is aborted and the stream may be resumed at another target.

Evidence: three new tests failed before ('[2, false, ended]' with '<p>sorry</p>' in the stream, instead of '[3, true, open]') and pass now; that other parameters or case do not matter passed before too.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -170,6 +170,7 @@
     if (head.wrongTarget) this.abortWith({ kind: 'not_run', written: true, message: 'wrong_target' })
     else if (head.id !== call.id && !(head.id === undefined && status >= 400)) this.abortWith(this.failure('response does not carry the id of this request', 'malformed'))
     else if (head.encoded) this.abortWith(this.failure('response has a content encoding', 'malformed'))
+    else if (stream?.reply.started === true && status === 200 && !stream.progress.isContinuedBy(head)) this.abortWith(this.failure('response has another content type than the stream', 'malformed'))
     else this.streaming = stream !== undefined && status === 200
   }
 
@@ -197,7 +198,7 @@
     if (this.splitter.pendingBytes > eventSplitter.MAX_EVENT_BYTES) this.abortWith(this.failure('event exceeds the size limit', 'malformed'))
     if (batch === undefined) return
     this.noteFirstEvent()
-    if (!reply.started) reply.start(this.responseHead!)
+    this.startReply()
     progress.noteRelayed(batch, this.lastByteAt)
     if (reply.write(batch.bytes)) return
     this.pauseUntilDrained(reply)
@@ -222,7 +223,7 @@
 
   private endStream (): void {
     const { reply } = this.spec.stream!
-    if (this.splitter.pendingBytes === 0 && this.spec.call.resumeAfter !== undefined) this.beginEmptyStream(reply)
+    if (this.splitter.pendingBytes === 0 && this.spec.call.resumeAfter !== undefined && !reply.started) this.beginEmptyStream()
     if (this.splitter.pendingBytes > 0 || !reply.started) {
       this.settle(this.failure('stream ended before its first event or within an event', 'disconnected'))
       return
@@ -231,10 +232,16 @@
   }
 
   // The caller already has all events of the stream that it resumes. Without an event, no time to the first one is known.
-  private beginEmptyStream (reply: calls.Reply): void {
-    if (reply.started) return
+  private beginEmptyStream (): void {
     this.spec.events.onFirstEvent()
     this.deps.onExecution(this.spec.call)
+    this.startReply()
+  }
+
+  private startReply (): void {
+    const { reply, progress } = this.spec.stream!
+    if (reply.started) return
+    progress.noteBegun(this.responseHead!)
     reply.start(this.responseHead!)
   }
 
--- a/src/forward/stream-progress.ts
+++ b/src/forward/stream-progress.ts
@@ -7,6 +7,7 @@
 export class StreamProgress {
   private relayedId: string | undefined
   private relayedAt: number | undefined
+  private mediaType: string | undefined
   private positionKnown = true
   private readonly label: string
   /** Longest time between two events so far, in ms; 0 before the second. */
@@ -32,6 +33,16 @@
     return this.positionKnown
   }
 
+  /** Notes the head of the response with which the stream begins. */
+  noteBegun (head: calls.ResponseHead): void {
+    this.mediaType = mediaTypeOf(head)
+  }
+
+  /** Whether a response may continue the stream: it has the media type of the one that has begun. */
+  isContinuedBy (head: calls.ResponseHead): boolean {
+    return mediaTypeOf(head) === this.mediaType
+  }
+
   /** Notes that events were relayed. */
   noteRelayed ({ lastId, allHaveIds }: eventSplitter.EventBatch, now: number): void {
     if (this.relayedAt === undefined) this.metrics.recordDuration('godwitpoint_first_token', now - this.call.arrivedAt, this.label)
@@ -46,3 +57,9 @@
     this.longestGapMs = Math.max(this.longestGapMs, gapMs)
   }
 }
+
+/** Content type without its parameters, in lower case; undefined when there is none. */
+function mediaTypeOf ({ headers }: calls.ResponseHead): string | undefined {
+  const index = headers.findIndex((name, position) => position % 2 === 0 && name.toLowerCase() === 'content-type')
+  return index < 0 ? undefined : headers[index + 1]!.split(';')[0]!.trim().toLowerCase()
+}
--- a/test/forward/replaced-attempt.test.ts
+++ b/test/forward/replaced-attempt.test.ts
@@ -83,6 +83,34 @@
   }
 })
 
+describe('A stream that has begun with a content type and is resumed at a second target', () => {
+  // Guards against a page or a JSON document within a stream.
+  for (const type of ['text/html', 'application/json; charset=utf-8', undefined]) {
+    it(`is not joined to a response with status 200 and the content type ${type}`, async () => {
+      const fixture = setUp()
+      fixture.start(build.aCall({ route: { ...STREAM, maxTargets: 3 } }))
+      beginStream(fixture.upstream.sends[0]!, 1, 1, { 'content-type': 'text/event-stream' })
+      fixture.upstream.sends[0]!.handler.onError({ written: true, message: 'reset' })
+      await fixture.virtual.advance(1)
+      respond(fixture.upstream.sends[1]!, 200, '<p>sorry</p>\n\n', type === undefined ? {} : { 'content-type': type })
+      await fixture.virtual.advance(1)
+      chai.expect([fixture.upstream.sends.length, fixture.upstream.sends[1]!.aborted, fixture.reply.state, fixture.reply.text]).to.deep.equal([3, true, 'open', eventText(1)])
+    })
+  }
+
+  it('goes on when only the parameters or the case of the content type differ', async () => {
+    const fixture = setUp()
+    fixture.start(build.aCall({ route: STREAM }))
+    beginStream(fixture.upstream.sends[0]!, 1, 1, { 'content-type': 'text/event-stream' })
+    fixture.upstream.sends[0]!.handler.onError({ written: true, message: 'reset' })
+    await fixture.virtual.advance(1)
+    beginStream(fixture.upstream.sends[1]!, 2, 2, { 'content-type': 'Text/Event-Stream;charset=utf-8' })
+    fixture.upstream.sends[1]!.handler.onEnd()
+    await fixture.virtual.advance(1)
+    chai.expect([fixture.reply.state, fixture.reply.text]).to.deep.equal(['ended', eventText(1) + eventText(2)])
+  })
+})
+
 describe('A stream that has begun and whose events have no ids', () => {
   // Guards against pieces of two runs that are joined: without an id the second run starts from the beginning.
   it('is not continued with a second run', async () => {
--- a/test/support/forwarder-fixture.ts
+++ b/test/support/forwarder-fixture.ts
@@ -72,8 +72,8 @@
 }
 
 /** The head of a stream, and its events with the ids from `first` to `last`. */
-export function beginStream (send: build.RecordedSend, first: number, last = first): void {
-  send.handler.onHead(200, { 'request-id': 'c1' })
+export function beginStream (send: build.RecordedSend, first: number, last = first, headers: Record<string, string> = {}): void {
+  send.handler.onHead(200, { 'request-id': 'c1', ...headers })
   sendEvents(send, first, last)
 }
 
