--- a/src/forward/attempt-race.ts
+++ b/src/forward/attempt-race.ts
@@ -3,6 +3,7 @@
  * first usable response wins. Where two targets must not work on the call at once, the silent attempt is aborted first, and
  * only when another can be sent in its place. Without one, silence ends no attempt.
  */
+import type * as log from '../log/index.js'
 import type * as metrics from '../metrics/index.js'
 import type * as placement from '../placement/index.js'
 import type * as attempt from './attempt.js'
@@ -19,14 +20,16 @@
   attempt: attempt.Attempt | undefined
   /** Set once the gateway has stopped the run; nothing may be sent for it any more. */
   stoppedBy: StopCause | undefined
+  /** Whether the attempt in flight is the prefill. */
+  prefilling = false
 
   /** `beside` tells whether the run was started while another one was silent. */
   constructor (readonly choice: placement.Placement, readonly beside: boolean) {}
 
-  /** Ids of the targets of the run. */
-  get targetIds (): string[] {
+  /** Id of the target that works on the call now; the one that generates is idle until the prompt is prefilled. */
+  get targetId (): string {
     const { target, prefillTarget } = this.choice
-    return prefillTarget === undefined ? [target.record.id] : [target.record.id, prefillTarget.record.id]
+    return this.prefilling && prefillTarget !== undefined ? prefillTarget.record.id : target.record.id
   }
 
   stop (cause: StopCause): void {
@@ -39,13 +42,15 @@
 export interface RaceDeps {
   readonly metrics: Pick<metrics.Metrics, 'count'>
   readonly service: string
+  readonly callId: string
+  readonly log: log.Logger
   /** Carries out a run; true once it has delivered a response. */
   readonly execute: (run: Run) => Promise<boolean>
   /**
-   * Where the call may be sent once more now, `beside` a silent attempt or in its place; a retry was taken from the budget
+   * Where the call may be sent once more now, `beside` a silent run or in its place; a retry was taken from the budget
    * for it. Undefined when it may not.
    */
-  readonly reserve: (beside: boolean) => placement.Placement | undefined
+  readonly reserve: (silent: Run, beside: boolean) => placement.Placement | undefined
 }
 
 /** Carries out the runs of one call. */
@@ -53,6 +58,8 @@
   private readonly runs = new Set<Run>()
   /** Placement of the run that follows a silent one as soon as that has ended. */
   private successor: placement.Placement | undefined
+  /** Set once a placement for the call has thrown: it goes on with the attempts that it has. */
+  private reserveFailed = false
   private hedged = false
   private winner: Run | undefined
   private delivered = false
@@ -68,7 +75,7 @@
 
   /** Ids of the targets that work on the call. */
   get targetIds (): string[] {
-    return [...this.runs].flatMap((run) => run.targetIds)
+    return [...this.runs].map((run) => run.targetId)
   }
 
   /** Carries out a placement, and others beside it or in its place while it is silent; true once a response was delivered. */
@@ -92,8 +99,8 @@
   noteStalled (run: Run): void {
     const { attempt, stoppedBy } = run
     if (attempt === undefined || stoppedBy !== undefined || this.successor !== undefined) return
-    if (!attempt.exclusive && this.addBeside()) return
-    if (attempt.isReplaceable) this.replace(attempt)
+    if (!attempt.exclusive && this.addBeside(run)) return
+    if (attempt.isReplaceable) this.replace(run, attempt)
   }
 
   /** Stops all runs; no further one is started. */
@@ -102,17 +109,17 @@
     for (const run of this.runs) run.stop(cause)
   }
 
-  private replace (silent: attempt.Attempt): void {
+  private replace (run: Run, silent: attempt.Attempt): void {
     if (this.runs.size > 1) return
-    this.successor = this.deps.reserve(false)
+    this.successor = this.reserve(run, false)
     if (this.successor === undefined) return
     this.deps.metrics.count('godwitpoint_silent_attempts_replaced_total', `service="${this.deps.service}"`)
     silent.giveUp()
   }
 
-  private addBeside (): boolean {
+  private addBeside (silent: Run): boolean {
     if (this.runs.size >= MAX_PARALLEL) return false
-    const choice = this.deps.reserve(true)
+    const choice = this.reserve(silent, true)
     if (choice === undefined) return false
     this.hedged = true
     this.deps.metrics.count('godwitpoint_hedged_attempts_total', `service="${this.deps.service}"`)
@@ -120,10 +127,23 @@
     return true
   }
 
+  // Called from a timer, where an exception would end the process. Without a further attempt the silent one goes on.
+  private reserve (silent: Run, beside: boolean): placement.Placement | undefined {
+    if (this.reserveFailed) return undefined
+    try {
+      return this.deps.reserve(silent, beside)
+    } catch (err) {
+      this.reserveFailed = true
+      this.deps.metrics.count('godwitpoint_failed_placements_total', `service="${this.deps.service}"`)
+      this.deps.log.error({ err, id: this.deps.callId }, 'placement_failed')
+      return undefined
+    }
+  }
+
   private start (choice: placement.Placement, beside: boolean): void {
     const run = new Run(choice, beside)
     this.runs.add(run)
-    this.deps.execute(run).then((delivered) => this.noteEnded(run, delivered), (err: unknown) => this.fail(err))
+    this.deps.execute(run).then((delivered) => this.noteEnded(run, delivered)).catch((err: unknown) => this.fail(err))
   }
 
   private noteEnded (run: Run, delivered: boolean): void {
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -9,6 +9,8 @@
 import * as attemptRace from './attempt-race.js'
 import * as attemptRecorder from './attempt-recorder.js'
 import * as callTimes from './call-times.js'
+import * as responseStatus from './response-status.js'
+import * as sentTargets from './sent-targets.js'
 import * as stallTimeouts from './stall-timeouts.js'
 import * as streamProgress from './stream-progress.js'
 
@@ -23,7 +25,7 @@
 export interface ForwarderDeps extends attempt.AttemptDeps, attemptRecorder.RecorderDeps {
   readonly placerFor: (call: calls.Call) => placement.Placer
   readonly budgetFor: (service: string) => retry.SharedRetryBudget
-  readonly quarantine: Pick<quarantine.SegmentQuarantine, 'admit' | 'noteLost' | 'noteAnswered'>
+  readonly quarantine: Pick<quarantine.SegmentQuarantine, 'admit' | 'waitMs' | 'isBarred' | 'returnTrials' | 'noteLost' | 'noteAnswered'>
   /** Age of the list of targets, in ms. */
   readonly listAgeMs: () => number
   /** Version of the configuration in force; undefined before the first. */
@@ -50,13 +52,15 @@
   private readonly triedTargets = new Set<string>()
   /** Quarantined segments of which this call is the trial; until its next attempt has ended. */
   private readonly trials = new Set<string>()
+  /** Whether a send of this call may have reached a target. */
+  private wasSent = false
   private readonly progress: streamProgress.StreamProgress
   private readonly times: callTimes.CallTimes
   private readonly recorder: attemptRecorder.AttemptRecorder
   private readonly budget: retry.SharedRetryBudget
   private readonly race: attemptRace.AttemptRace
   /** Attempts whose request may have reached a target; they count against the retry budget and the route's `maxTargets`. */
-  private countedAttempts = 0
+  private readonly sent: sentTargets.SentTargets
   private mayHaveExecuted = false
   private endedBy: 'deadline' | 'caller_left' | undefined
   private lastResponse: { head: calls.ResponseHead, body: Uint8Array } | undefined
@@ -68,8 +72,9 @@
     this.progress = new streamProgress.StreamProgress(call, deps.metrics)
     this.times = new callTimes.CallTimes(call, deps.metrics)
     this.recorder = new attemptRecorder.AttemptRecorder(deps, call, this.progress)
+    this.sent = new sentTargets.SentTargets(call.route.maxTargets)
     this.budget = deps.budgetFor(call.service.name)
-    this.race = new attemptRace.AttemptRace({ metrics: deps.metrics, service: call.service.name, execute: async (run) => await this.attemptAt(run), reserve: (beside) => this.reserve(beside) })
+    this.race = new attemptRace.AttemptRace({ metrics: deps.metrics, service: call.service.name, callId: call.id, log: deps.log, execute: async (run) => await this.attemptAt(run), reserve: (silent, beside) => this.reserve(silent, beside) })
   }
 
   async run (): Promise<errors.Refusal | undefined> {
@@ -84,6 +89,7 @@
       timer[Symbol.dispose]()
       this.signal.removeEventListener('abort', onCallerLeft)
       this.times.finish(this.now())
+      if (!this.wasSent) this.deps.quarantine.returnTrials(this.trials)
     }
   }
 
@@ -104,23 +110,31 @@
     if (stopReason !== undefined) return new NoPlacement(stopReason)
     const choice = this.chooseTarget()
     if (choice === undefined || (beside && choice.prefillTarget !== undefined)) return new NoPlacement('no_target')
-    const lateMs = choice.expectedMs - this.firstEventTimeoutMs
+    const lateMs = this.lateMs(choice)
     if (lateMs > 0) return new NoPlacement('deadline_unreachable', lateMs)
     if (!this.mayAttempt()) return new NoPlacement(this.mayHaveExecuted ? 'target_failed' : 'retry_budget_exhausted')
+    // A trial is taken only for a send.
+    if (this.call.prompt !== undefined && !this.reply.started) this.deps.quarantine.admit(this.call.prompt, this.trials)
     return choice
   }
 
-  /** Where the call may be sent while an attempt is silent. A call with a quarantined segment is tried at one target only. */
-  private reserve (beside: boolean): placement.Placement | undefined {
-    if (this.trials.size > 0 || !this.attemptsLeft || this.budget.remaining < 1) return undefined
+  /** Where the call may be sent while a run is silent. A call with a quarantined segment is tried at one target only. */
+  private reserve (silent: attemptRace.Run, beside: boolean): placement.Placement | undefined {
+    const { prompt } = this.call
+    if (this.trials.size > 0 || (prompt !== undefined && !this.reply.started && this.deps.quarantine.isBarred(prompt, this.trials))) return undefined
+    if (!this.sent.mayReplace(this.race.size) || this.budget.remaining < 1) return undefined
     const next = this.nextPlacement(beside)
-    return next instanceof NoPlacement ? undefined : next
+    if (next instanceof NoPlacement) return undefined
+    if (!beside) this.sent.noteReplaced(silent.choice)
+    return next
   }
 
   private reasonToStop (): errors.Refusal | errors.RefusalReason | undefined {
     if (this.endedBy === 'deadline') return 'deadline_exceeded'
     if (this.endedBy === 'caller_left') return 'caller_disconnected'
     if (this.call.deadlineAt - this.now() < MIN_SEND_MS) return 'deadline_unreachable'
+    // Another attempt would run from the start, and pieces of two runs would be joined.
+    if (!this.progress.isResumable) return 'target_failed'
     // A stream that has begun was accepted before the change, and its events show that its prompt lets engines begin to respond.
     if (this.reply.started) return undefined
     return this.call.checkAuthorization() ?? this.checkQuarantine()
@@ -128,17 +142,35 @@
 
   private checkQuarantine (): errors.Refusal | undefined {
     const { prompt } = this.call
-    const retryAfterMs = prompt === undefined ? undefined : this.deps.quarantine.admit(prompt, this.trials)
+    const retryAfterMs = prompt === undefined ? undefined : this.deps.quarantine.waitMs(prompt, this.trials)
     return retryAfterMs === undefined ? undefined : new errors.Refusal('segment_quarantined', { step: 'route', ran: 'no', retryAfterMs })
   }
 
   private chooseTarget (): placement.Placement | undefined {
     const placer = this.deps.placerFor(this.call)
-    const busyTargets = this.race.targetIds
-    const choice = placer.place(this.call, new Set([...this.triedTargets, ...busyTargets]))
-    if (choice !== undefined || this.triedTargets.size === 0 || !this.mayRetry) return choice
-    // With no other target left, one that failed before may be able to serve the call now.
-    return placer.place(this.call, new Set(busyTargets))
+    const excluded = [...this.race.targetIds, ...this.targetsAboveLimit()]
+    const choice = placer.place(this.call, new Set([...this.triedTargets, ...excluded]))
+    if (this.triedTargets.size === 0 || !this.mayRetry || (choice !== undefined && this.lateMs(choice) <= 0)) return choice
+    // With no other target left, one that was only silent, or that failed before, may be able to serve the call now.
+    return this.takeReplaced() ?? choice ?? placer.place(this.call, new Set(excluded))
+  }
+
+  /** The placement of a silent attempt that was aborted, also when its response is expected late: it would still run. */
+  private takeReplaced (): placement.Placement | undefined {
+    const choice = this.race.size === 0 && this.attemptsLeft ? this.sent.takeReplaced(this.now()) : undefined
+    if (choice === undefined) return undefined
+    this.deps.metrics.count('godwitpoint_returns_to_silent_targets_total', `service="${this.call.service.name}"`)
+    return { ...choice, expectedMs: Math.max(0, Math.min(choice.expectedMs, this.firstEventTimeoutMs)) }
+  }
+
+  /** Targets that the call may not be sent to as it was already sent to `maxTargets` others. */
+  private targetsAboveLimit (): string[] {
+    if (!this.attemptsLeft || this.sent.mayAddTarget(this.race.targetIds)) return []
+    return this.deps.fleet.ofService(this.call.service.name).map((state) => state.record.id).filter((id) => !this.sent.has(id))
+  }
+
+  private lateMs (choice: placement.Placement): number {
+    return choice.expectedMs - this.firstEventTimeoutMs
   }
 
   /** Time within which the first event must arrive: until the deadline or the idle timeout of the caller, in ms. */
@@ -154,11 +186,11 @@
 
   /** Attempts that count, those in flight included. */
   private get usedAttempts (): number {
-    return this.countedAttempts + this.race.size
+    return this.sent.sends + this.race.size
   }
 
   private get attemptsLeft (): boolean {
-    return this.usedAttempts < this.call.route.maxTargets
+    return this.sent.sendsLeft(this.race.size)
   }
 
   private mayAttempt (): boolean {
@@ -186,11 +218,13 @@
   }
 
   private async prefillAt (run: attemptRace.Run, target: fleet.TargetState): Promise<string | undefined> {
+    run.prefilling = true
     const result = await this.send(run, target, { prefillOnly: true, fetchFrom: run.choice.fetchFrom?.record.address })
+    run.prefilling = false
     const handle = result.kind === 'answered' && result.head.status === 200 ? this.deps.protocol.decodeKvHandle(result.body) : undefined
     const firstPrefill = handle !== undefined && !this.prefillAccepted
     if (firstPrefill) this.prefillAccepted = true
-    else if (result.kind !== 'not_run' || result.written) this.countedAttempts++
+    else if (result.kind !== 'not_run' || result.written) this.sent.add(target.record.id)
     if (handle !== undefined) {
       this.notePrefilled(target)
       return handle
@@ -202,13 +236,13 @@
   private async executeAt (run: attemptRace.Run, target: fleet.TargetState, kvSource: calls.KvSource | undefined, prefillTarget?: fleet.TargetState): Promise<boolean> {
     const result = await this.send(run, target, kvSource === undefined ? { fetchFrom: run.choice.fetchFrom?.record.address } : { kvSource })
     if (result.kind === 'not_run') {
-      if (result.written) this.countedAttempts++
+      if (result.written) this.sent.add(target.record.id)
       if (prefillTarget !== undefined && result.written) prefillTarget.kvTransferFailedAt = this.now()
       if (kvSource !== undefined && !result.written) this.releaseKvHandle(kvSource)
       this.noteFailure(result, target, 'run')
       return false
     }
-    this.countedAttempts++
+    this.sent.add(target.record.id)
     if (run.stoppedBy === 'other_won') return false
     if (result.kind === 'streamed') {
       this.notePrefilled(target)
@@ -216,14 +250,14 @@
       return true
     }
     this.mayHaveExecuted = true
-    if (result.kind === 'answered' && (this.race.size === 1 || isUsable(result.head.status))) {
+    if (result.kind === 'answered' && (this.race.size === 1 || responseStatus.isUsable(result.head.status))) {
       const delivered = this.handleResponse(result, target)
       if (delivered) this.race.win(run)
       return delivered
     }
     if (result.kind === 'answered') this.lastResponse = result
     this.noteFailure(result, target, 'run')
-    if (!this.mayRetry && this.endedBy === undefined) this.countedAttempts = Infinity
+    if (!this.mayRetry && this.endedBy === undefined) this.sent.close()
     return false
   }
 
@@ -235,7 +269,7 @@
     }
     this.lastResponse = { head: result.head, body: result.body }
     const failed = result.head.status >= 500
-    if (failed && this.call.route.idempotency !== 'non_idempotent' && this.countedAttempts < this.call.route.maxTargets && this.budget.remaining >= 1) {
+    if (failed && this.call.route.idempotency !== 'non_idempotent' && this.sent.sendsLeft(0) && this.budget.remaining >= 1) {
       this.triedTargets.add(target.record.id)
       this.lastMessage = `status ${result.head.status}`
       this.deps.log.info({ id: this.call.id, target: target.record.id, status: result.head.status }, 'call_repeated')
@@ -265,7 +299,10 @@
     const result = await sent.attempt.run()
     run.attempt = undefined
     this.times.endAttempt(this.now())
-    if (options.prefillOnly !== true) this.trials.clear()
+    if (result.kind !== 'not_run' || result.written) {
+      this.wasSent = true
+      if (options.prefillOnly !== true) this.trials.clear()
+    }
     this.recorder.noteEnded(sent, result)
     return result
   }
@@ -313,14 +350,19 @@
   }
 
   private deliver (response: { head: calls.ResponseHead, body: Uint8Array }): void {
-    if (impliesNotExecuted(response.head.status)) this.reply.send({ ...response.head, status: 502, headers: [] }, new Uint8Array(0))
+    if (responseStatus.impliesNotExecuted(response.head.status)) this.reply.send({ ...response.head, status: 502, headers: [] }, new Uint8Array(0))
     else this.reply.send(response.head, response.body)
   }
 
   /** Ends the call without success: aborts a started stream, delivers the last error response, or refuses. */
   private giveUp (stopReason: errors.RefusalReason | errors.Refusal, lateMs = 0): errors.Refusal | undefined {
     if (this.reply.started) {
-      this.logBrokenOff(stopReason instanceof errors.Refusal ? stopReason.reason : stopReason)
+      this.recorder.noteBrokenOff({
+        reason: stopReason instanceof errors.Refusal ? stopReason.reason : stopReason,
+        detail: this.lastMessage,
+        targetsTried: this.triedTargets.size,
+        configVersion: this.deps.configVersion()
+      })
       this.reply.abort()
       return undefined
     }
@@ -340,36 +382,7 @@
     })
   }
 
-  private logBrokenOff (reason: errors.RefusalReason): void {
-    const { call, progress } = this
-    const now = this.now()
-    this.deps.metrics.count('godwitpoint_streams_broken_off_total', `reason="${reason}"`)
-    this.deps.log.warn({
-      id: call.id,
-      route: call.route.name,
-      reason,
-      detail: this.lastMessage,
-      targets_tried: this.triedTargets.size,
-      relayed_to: progress.lastId,
-      silent_ms: Math.round(now - (progress.lastRelayedAt ?? call.arrivedAt)),
-      left_ms: Math.round(call.deadlineAt - now),
-      config_version: call.configVersion,
-      current_config_version: this.deps.configVersion()
-    }, 'stream_broken_off')
-  }
-
   private now (): number {
     return this.deps.env.clock.now()
   }
 }
-
-/** Whether a response with this status ends a call while another attempt is running. */
-function isUsable (status: number): boolean {
-  return status < 500 && !impliesNotExecuted(status)
-}
-
-// Callers take these statuses to mean that the call was not executed. A target's response with such a status and
-// without an explicit report that the call was not executed does not guarantee that, so it must not be relayed.
-function impliesNotExecuted (status: number): boolean {
-  return status === 408 || status === 421 || status === 429 || status === 503
-}
