Keep targets whose records a restore has lost until they have registered again

Callers would see: after the store returns from an older copy, targets that had registered after the copy was made get no calls for up to two seconds, although they run; calls are refused or crowd the others. Shown in virtual time only.

Cause: a list in which a target is missing meant that the target had left, unless two reads had failed before; a restore may pass without a failed read.

Ruled out: reads that a later one has overtaken, and expiry while the store is away; both are handled since the outage rule and unchanged.

Change: the first list of a later era counts as one after an outage: missing targets are kept until 2 s after the start of its read, the list is read once more before that (by a member too, if the list in use is its own), and a target that was kept already is kept anew, since its second registration may be lost as well. The age of the list starts anew with the era. target_list_restored is logged.

Evidence: two tests in test/fleet/fleet-feed.test.ts, with 16 phases of the reads. Before: "phase 0, before the return", 'a' got no calls from 2410 ms on, 10 ms after the restore; now it gets calls throughout, and a target that does not come back is dropped. With the rule removed the first and second fail, without the renewal of the time the second.

--- a/src/fleet/fleet-feed.ts
+++ b/src/fleet/fleet-feed.ts
@@ -4,7 +4,7 @@
  */
 import * as z from 'zod'
 import type * as exchange from '../exchange/index.js'
-import type * as external from '../external/index.js'
+import * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import * as serving from '../serving/index.js'
 import * as time from '../time/index.js'
@@ -24,8 +24,8 @@
 const REAPPLY_INTERVAL_MS = 1_000
 
 /**
- * Time after the return of the store within which targets whose records had expired meanwhile have registered again, in ms;
- * one that is still missing then has left.
+ * Time after the return of the store within which targets whose records had expired meanwhile, or were lost in a restore,
+ * have registered again, in ms; one that is still missing then has left.
  */
 const REREGISTRATION_MS = 2_000
 
@@ -43,6 +43,7 @@
   readonly env: time.Env
   readonly elapsed: serving.ElapsedClock
   readonly store: external.ObjectStore
+  readonly eras: external.StoreEras
   /** Prefix of the keys of target records. */
   readonly prefix: string
   /** Propagation bound, in ms: from this time after its acknowledgement on, a leaving target must get no new work. */
@@ -61,12 +62,14 @@
 export class FleetFeed implements Disposable, exchange.Topic {
   readonly name = 'targets'
   private readonly poller: time.Poller
-  private readonly freshness: serving.Freshness
+  private freshness: serving.Freshness
   private readonly list = new targetList.TargetList()
   /** List of the relay of this gateway, to which the changes that the relay tells apply. */
   private readonly relayList = new targetList.TargetList()
   /** Whether the list in use is that of the relay, so that its next changes apply to it. */
   private followsRelay = false
+  /** Era of the list in use; undefined before the first list. */
+  private listEra: number | undefined
   private failing = false
   /** Failed reads that were started after the list in use was confirmed. */
   private failedReads = 0
@@ -127,7 +130,7 @@
     if (isIncremental) this.list.update(records, removed)
     else this.list.replace(this.relayList.records())
     this.followsRelay = true
-    this.confirm(confirmedAt)
+    this.confirm(confirmedAt, this.listEra ?? 0)
     if (!isIncremental || records.length + removed.length > 0 || this.deps.env.clock.now() - this.appliedAt >= REAPPLY_INTERVAL_MS) this.applyToFleet()
     return true
   }
@@ -153,33 +156,50 @@
     this.lastAppliedRead = readNumber
     this.list.replace(objects.flatMap((object) => this.deps.decode(object) ?? []))
     this.followsRelay = false
-    this.confirm(startedAt)
+    this.confirm(startedAt, this.eraOfRead(objects))
     this.applyToFleet()
   }
 
+  // An empty list carries no version; the client of the store drops responses of an earlier era than the latest.
+  private eraOfRead (objects: readonly external.StoredObject[]): number {
+    const [first] = objects
+    return first === undefined ? this.deps.eras.current ?? 0 : external.eraOf(first.version)
+  }
+
   // Notes that the list was current at `confirmedAt`. After an outage a record may expire shortly after it was listed again,
-  // since its target has not yet written it.
-  private confirm (confirmedAt: number): void {
-    const wasAway = this.failedReads >= OUTAGE_FAILED_READS && confirmedAt - this.freshness.confirmedAt >= this.deps.shortestExpiryMs
+  // since its target has not yet written it. After a restore, records are missing until their targets have written them again, and
+  // the age of the earlier list says nothing of the restored one.
+  private confirm (confirmedAt: number, era: number): void {
+    const isRestored = this.listEra !== undefined && era > this.listEra
+    const wasAway = isRestored || (this.failedReads >= OUTAGE_FAILED_READS && confirmedAt - this.freshness.confirmedAt >= this.deps.shortestExpiryMs)
+    if (isRestored) this.freshness = new serving.Freshness(this.deps.elapsed)
+    this.listEra = era
     if (confirmedAt > this.freshness.confirmedAt) this.failedReads = 0
     this.freshness.confirm(confirmedAt)
     if (!wasAway) return
     const remainingMs = REREGISTRATION_MS - (this.deps.elapsed.now() - confirmedAt)
-    // A member gets the list that its relay reads then.
-    if (this.deps.isReader()) this.scheduleLastRead(remainingMs - LAST_READ_MARGIN_MS)
+    if (isRestored) this.deps.log.info({ era, targets: this.list.size, for_ms: Math.round(remainingMs) }, 'target_list_restored')
+    if (this.readsForItself) this.scheduleLastRead(remainingMs - LAST_READ_MARGIN_MS)
     this.reregisteredAt = this.deps.env.clock.now() + remainingMs
   }
 
+  // A member gets the list that its relay reads, unless its own read is newer.
+  private get readsForItself (): boolean {
+    return this.deps.isReader() || !this.followsRelay
+  }
+
   private scheduleLastRead (delayMs: number): void {
     this.lastRead?.[Symbol.dispose]()
-    this.lastRead = this.deps.env.timers.after(delayMs, () => {
+    this.lastRead = this.deps.env.timers.after(Math.max(0, delayMs), () => {
+      if (!this.readsForItself) return
       this.poller.readNow().catch((err: unknown) => this.deps.log.error({ err }, 'target_list_failed'))
     })
   }
 
   private applyToFleet (): void {
     this.appliedAt = this.deps.env.clock.now()
-    this.deps.fleet.apply(this.list.records(), this.appliedAt < this.reregisteredAt ? this.reregisteredAt : undefined)
+    const keepUntil = this.appliedAt < this.reregisteredAt ? this.reregisteredAt : undefined
+    this.deps.fleet.apply(this.list.records(), { era: this.listEra ?? 0, keepUntil })
     this.loaded = true
     if (this.failing) this.deps.log.info({ dependency: 'target_list', targets: this.list.size }, 'dependency_regained')
     this.failing = false
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -15,6 +15,17 @@
   readonly onRemoved: (address: string) => void
 }
 
+/** What is known of a list beside its records. */
+export interface ListStatus {
+  /** Era of the store. */
+  readonly era: number
+  /**
+   * Set after a time in which records may have expired, or were lost, though their targets still run: targets that are missing
+   * are kept until then, in ms on the monotonic clock.
+   */
+  readonly keepUntil?: number | undefined
+}
+
 /** Targets by id and by service, as of the last list in the store. */
 export class Fleet {
   private readonly targets = new Map<string, targetState.TargetState>()
@@ -60,11 +71,8 @@
     }
   }
 
-  /**
-   * Applies a complete list: adds, updates and removes targets. `keepUntil` is set after a time in which records may have
-   * expired though their targets still run: targets that are missing are kept until then, in ms on the monotonic clock.
-   */
-  apply (records: readonly serving.TargetRecord[], keepUntil?: number): void {
+  /** Applies a complete list: adds, updates and removes targets. */
+  apply (records: readonly serving.TargetRecord[], status: ListStatus = { era: 0 }): void {
     const listed = new Set<string>()
     for (const record of records) {
       listed.add(record.id)
@@ -72,7 +80,7 @@
     }
     for (const state of [...this.targets.values()]) {
       if (listed.has(state.record.id)) state.kept = undefined
-      else this.keepOrRemove(state, keepUntil)
+      else this.keepOrRemove(state, status)
     }
     this.indexByService()
   }
@@ -104,15 +112,17 @@
     state.record = leaving === record.leaving ? record : { ...record, leaving }
   }
 
-  private keepOrRemove (state: targetState.TargetState, keepUntil: number | undefined): void {
+  private keepOrRemove (state: targetState.TargetState, { era, keepUntil }: ListStatus): void {
     const now = this.deps.clock.now()
-    const until = state.kept?.until ?? keepUntil
+    // After a restore a target registers once more, also one that had just done so.
+    const kept = state.kept !== undefined && era > state.kept.era && keepUntil !== undefined ? undefined : state.kept
+    const until = kept?.until ?? keepUntil
     if (state.record.leaving || until === undefined || now >= until) {
       this.remove(state)
       return
     }
-    if (state.kept !== undefined) return
-    state.kept = { since: now, until }
+    if (kept !== undefined) return
+    state.kept = { since: state.kept?.since ?? now, until, era }
     this.deps.log.info({ target: state.record.id, service: state.record.service, for_ms: Math.round(until - now) }, 'target_kept')
   }
 
--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -17,10 +17,11 @@
   readonly speeds: stageSpeeds.StageSpeeds
 }
 
-/** Since when a target has been missing from the list, and until when it is used nevertheless; ms, monotonic. */
+/** Since when a target has been missing from the list, and until when it is used nevertheless; ms, monotonic. `era`: that of the list. */
 export interface KeptTarget {
   readonly since: number
   readonly until: number
+  readonly era: number
 }
 
 /** Mutable state of a target: load, speed, cache and failures; owned by the {@link Fleet}. */
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -100,7 +100,7 @@
     this.feed = new serving.ConfigFeed({ env, elapsed: this.elapsed, store, eras: deps.eras, propagationMs: settings.bounds.configPropagationMs, isReader: isRelay, log, metrics, ...deps.config })
     this.pool = new upstream.ConnectionPool({ env, metrics })
     this.fleet = new fleet.Fleet({ clock: env.clock, log, onRemoved: (address) => this.pool.dropIdleConnections(address) })
-    this.fleetFeed = new fleet.FleetFeed({ env, elapsed: this.elapsed, store, fleet: this.fleet, leavePropagationMs: settings.bounds.leavePropagationMs, shortestExpiryMs: settings.bounds.targetExpiryMs, isReader: isRelay, log, ...deps.targets })
+    this.fleetFeed = new fleet.FleetFeed({ env, elapsed: this.elapsed, store, eras: deps.eras, fleet: this.fleet, leavePropagationMs: settings.bounds.leavePropagationMs, shortestExpiryMs: settings.bounds.targetExpiryMs, isReader: isRelay, log, ...deps.targets })
     this.peers = new peer.TcpPeers(env.timers)
     const self = this.gatewayRecord()
     this.roster = new exchange.Roster({ clock: env.clock, log, self })
--- a/test/fleet/fleet-feed.test.ts
+++ b/test/fleet/fleet-feed.test.ts
@@ -36,7 +36,7 @@
     const env = this.virtual.env(1)
     const elapsed = new serving.ElapsedClock(this.virtual)
     const decode = (object: external.StoredObject): serving.TargetRecord => JSON.parse(object.value) as serving.TargetRecord
-    this.feed = new fleet.FleetFeed({ env, elapsed, store: this.cuttableStore(), prefix: PREFIX, leavePropagationMs: LEAVE_BOUND_MS, shortestExpiryMs: 2 * HEARTBEAT_MS, isReader: () => isReader, decode, fleet: this.fleet, log: log.SILENT_LOGGER })
+    this.feed = new fleet.FleetFeed({ env, elapsed, store: this.cuttableStore(), eras: this.store.eras, prefix: PREFIX, leavePropagationMs: LEAVE_BOUND_MS, shortestExpiryMs: 2 * HEARTBEAT_MS, isReader: () => isReader, decode, fleet: this.fleet, log: log.SILENT_LOGGER })
     this.feed.start()
   }
 
@@ -150,6 +150,38 @@
     }
   })
 
+  it('keeps targets whose records were lost in a restore until they have registered again, and drops those that do not', async () => {
+    for (let phaseMs = 0; phaseMs < 800; phaseMs += 50) {
+      using feed = new FeedUnderTest(['b'])
+      await feed.virtual.advance(500)
+      const copy = feed.store.copy()
+      feed.put('a')
+      feed.put('c')
+      await feed.virtual.advance(1_500 + phaseMs)
+      feed.store.restore(copy)
+      const restoredAt = feed.virtual.now()
+      // The first good read may start with the return of the store, and the last one of the interval 100 ms before its end.
+      chai.expect(await feed.violations(restoredAt + RETURN_MS - 150, () => feed.accepts('a') && feed.accepts('c')), `phase ${phaseMs}, before the return`).to.deep.equal([])
+      feed.put('a')
+      chai.expect(await feed.violations(restoredAt + CONTACT_MS, () => feed.accepts('a')), `phase ${phaseMs}, returned`).to.deep.equal([])
+      chai.expect(await feed.violations(restoredAt + CONTACT_MS + 1_500, () => feed.accepts('a') && !feed.accepts('c')), `phase ${phaseMs}, after that`).to.deep.equal([])
+    }
+  })
+
+  it('keeps a target that is missing after two restores in a row until it has registered again after the second', async () => {
+    using feed = new FeedUnderTest(['b'])
+    await feed.virtual.advance(500)
+    const copy = feed.store.copy()
+    feed.put('a')
+    await feed.virtual.advance(1_500)
+    for (const untilNextMs of [1_500, RETURN_MS - 50]) {
+      feed.store.restore(copy)
+      chai.expect(await feed.violations(feed.virtual.now() + untilNextMs, () => feed.accepts('a'))).to.deep.equal([])
+    }
+    feed.put('a')
+    chai.expect(await feed.violations(feed.virtual.now() + CONTACT_MS, () => feed.accepts('a'))).to.deep.equal([])
+  })
+
   describe('of a member', () => {
     const relay: exchange.Link = { gateway: 'r', incarnation: '1', kind: 'relay' }
 
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -25,7 +25,7 @@
   it('removes a target that is missing from the list, but not while its record may have expired during a store outage', async () => {
     const { virtual, knownTargets, usableIds } = setUp()
     knownTargets.apply([build.aTarget('a'), build.aTarget('b')])
-    knownTargets.apply([build.aTarget('b')], 2_000)
+    knownTargets.apply([build.aTarget('b')], { era: 0, keepUntil: 2_000 })
     await virtual.advance(1_999)
     knownTargets.apply([build.aTarget('b')])
     chai.expect(usableIds()).to.deep.equal(['a', 'b'])
@@ -38,7 +38,7 @@
   it('removes at once a target that was listed after a store outage and is missing when all have registered again', () => {
     const { knownTargets, usableIds } = setUp()
     knownTargets.apply([build.aTarget('a'), build.aTarget('b'), build.aTarget('c')])
-    knownTargets.apply([build.aTarget('a'), build.aTarget('b')], 2_000)
+    knownTargets.apply([build.aTarget('a'), build.aTarget('b')], { era: 0, keepUntil: 2_000 })
     knownTargets.apply([build.aTarget('b')])
     chai.expect(usableIds()).to.deep.equal(['b', 'c'])
   })
@@ -46,9 +46,9 @@
   it('keeps a target for an outage once: it is kept again only after it was listed', async () => {
     const { virtual, knownTargets, usableIds } = setUp()
     knownTargets.apply([build.aTarget('a')])
-    knownTargets.apply([], 2_000)
+    knownTargets.apply([], { era: 0, keepUntil: 2_000 })
     await virtual.advance(1_000)
-    knownTargets.apply([], 3_000)
+    knownTargets.apply([], { era: 0, keepUntil: 3_000 })
     await virtual.advance(1_000)
     chai.expect(usableIds()).to.deep.equal([])
   })
@@ -82,7 +82,7 @@
   it('removes a leaving target that is missing after a store outage', () => {
     const { knownTargets } = setUp()
     knownTargets.apply([build.aTarget('a', { leaving: true })])
-    knownTargets.apply([], 2_000)
+    knownTargets.apply([], { era: 0, keepUntil: 2_000 })
     chai.expect(knownTargets.ofService('s')).to.have.length(0)
   })
 
