Order lists of targets by the era of the store before their age

Callers would see: at a gateway that knows of a restore, targets come and go when its relay does not know of it yet, or when an earlier read ends late; a target that registered after the restore gets no calls. Shown in virtual time only.

Cause: two lists were compared by the time at which they were confirmed, and reads by the order in which they were started. Neither says which one is of the restored store, and an age of the earlier era confirmed the list of the later one.

Ruled out: late responses at the adapter (platform/store.ts drops them already; the feed now checks the era of what it is given too).

Change: what a relay tells of its targets carries the era of that list. A list of an earlier era than the one in use changes nothing and confirms nothing; one of a later era is taken whatever its age, and brings its own age. A gateway learns of the restore from it. Messages without the field count as of the present era.

Evidence: three tests in test/fleet/fleet-feed.test.ts, a region test with 30 gateways in test/exchange/exchange.test.ts. Before, or with the rule removed: the late read gives "{ era: 0, ids: [ 'a' ] }" instead of 'a' and 'b'; the relay of the earlier era gives 'a' and 'd' with age 0; the list of the later era was not taken. With the age kept across eras: "expected 850 to equal 3000".

--- a/src/fleet/fleet-feed.ts
+++ b/src/fleet/fleet-feed.ts
@@ -35,8 +35,9 @@
 /** Failed reads in a row after which the store counts as having been away; a single one may be lost on the way. */
 const OUTAGE_FAILED_READS = 2
 
-/** Changes of the list, and its age when this was sent; `complete`: other targets are not in the list. */
-const ListChanges = z.object({ ageMs: z.number(), complete: z.boolean(), records: z.array(targetList.TargetRecord), removed: z.array(z.string()) })
+/** Changes of the list, its age when this was sent, and its era; `complete`: other targets are not in the list. */
+const ListChanges = z.object({ ageMs: z.number(), complete: z.boolean(), records: z.array(targetList.TargetRecord), removed: z.array(z.string()), era: z.int().optional() })
+type ListChanges = z.infer<typeof ListChanges>
 
 /** Dependencies of a {@link FleetFeed}. */
 export interface FleetFeedDeps {
@@ -112,17 +113,22 @@
   changesSince (link: exchange.Link, position: number | undefined): exchange.Changes | undefined {
     if (link.kind !== 'member' || !this.loaded) return undefined
     const complete = position === undefined || !this.list.knowsChangesSince(position)
-    return { next: this.list.position, payload: { ageMs: Math.ceil(this.freshness.ageMs), complete, ...this.list.changesSince(complete ? 0 : position) } }
+    const { records, removed } = this.list.changesSince(complete ? 0 : position)
+    const payload: ListChanges = { ageMs: Math.ceil(this.freshness.ageMs), complete, records: [...records], removed: [...removed], era: this.listEra }
+    return { next: this.list.position, payload }
   }
 
-  // A list of the relay that is older than the one in use is not used before the relay has confirmed it again.
+  // A list of the relay that is older than the one in use is not used before the relay has confirmed it again; ages compare
+  // only within one era.
   apply (link: exchange.Link, payload: unknown, sentAt: number | undefined): boolean {
     if (link.kind !== 'relay' || sentAt === undefined) return true
-    const { ageMs, complete, records, removed } = ListChanges.parse(payload)
+    const { ageMs, complete, records, removed, era } = ListChanges.parse(payload)
+    if (era !== undefined) this.deps.eras.note(era)
     if (complete) this.relayList.replace(records)
     else this.relayList.update(records, removed)
     const confirmedAt = sentAt - ageMs
-    if (confirmedAt < this.freshness.confirmedAt) {
+    const listEra = era ?? this.era
+    if (listEra < this.era || (listEra === this.era && confirmedAt < this.freshness.confirmedAt)) {
       this.followsRelay = false
       return true
     }
@@ -130,7 +136,7 @@
     if (isIncremental) this.list.update(records, removed)
     else this.list.replace(this.relayList.records())
     this.followsRelay = true
-    this.confirm(confirmedAt, this.listEra ?? 0)
+    this.confirm(confirmedAt, listEra)
     if (!isIncremental || records.length + removed.length > 0 || this.deps.env.clock.now() - this.appliedAt >= REAPPLY_INTERVAL_MS) this.applyToFleet()
     return true
   }
@@ -142,13 +148,13 @@
     this.lastRead?.[Symbol.dispose]()
   }
 
-  // Reads may overlap: a list is dropped when one whose read started later was applied already.
+  // Reads may overlap: a list is dropped when one whose read started later, or one of a later era, was applied already.
   private async read (): Promise<boolean> {
     const readNumber = ++this.readsStarted
     const startedAt = this.freshness.startRead()
     const listed = await this.deps.store.list(this.deps.prefix)
     if (listed.err) this.noteFailure(listed.val.message, startedAt)
-    else if (readNumber > this.lastAppliedRead) this.applyRead(listed.val, readNumber, startedAt)
+    else if (readNumber > this.lastAppliedRead && this.eraOfRead(listed.val) >= this.era) this.applyRead(listed.val, readNumber, startedAt)
     return !this.failing
   }
 
@@ -160,10 +166,15 @@
     this.applyToFleet()
   }
 
+  /** Era of the list in use; that of a store that was never restored before the first list. */
+  private get era (): number {
+    return this.listEra ?? 0
+  }
+
   // An empty list carries no version; the client of the store drops responses of an earlier era than the latest.
   private eraOfRead (objects: readonly external.StoredObject[]): number {
     const [first] = objects
-    return first === undefined ? this.deps.eras.current ?? 0 : external.eraOf(first.version)
+    return first === undefined ? this.deps.eras.current ?? this.era : external.eraOf(first.version)
   }
 
   // Notes that the list was current at `confirmedAt`. After an outage a record may expire shortly after it was listed again,
@@ -199,7 +210,7 @@
   private applyToFleet (): void {
     this.appliedAt = this.deps.env.clock.now()
     const keepUntil = this.appliedAt < this.reregisteredAt ? this.reregisteredAt : undefined
-    this.deps.fleet.apply(this.list.records(), { era: this.listEra ?? 0, keepUntil })
+    this.deps.fleet.apply(this.list.records(), { era: this.era, keepUntil })
     this.loaded = true
     if (this.failing) this.deps.log.info({ dependency: 'target_list', targets: this.list.size }, 'dependency_regained')
     this.failing = false
--- a/test/exchange/exchange.test.ts
+++ b/test/exchange/exchange.test.ts
@@ -178,6 +178,31 @@
     })
   }
 
+  for (const late of ['relays', 'members']) {
+    it(`keeps a target whose record a restore has lost, and one that came since, when ${late} learn of the restore later than the others`, async () => {
+      const { region, gateways } = await regionOf(30)
+      const accepting = (id: string): string[] => gateways.filter((gateway) => gateway.target(id)?.acceptsCalls(region.virtual.now())).map((gateway) => gateway.name)
+      const writeTarget = async (id: string): Promise<void> => await region.write(`${regions.TARGETS_PREFIX}${id}`, JSON.stringify(build.aTarget(id, { stage: 'decode' })))
+      const copy = region.store.copy()
+      await writeTarget('e2')
+      await region.virtual.advance(regions.LEAVE_BOUND_MS)
+      for (const gateway of gateways) gateway.storeReachable = gateway.exchange.isRelay !== (late === 'relays')
+      region.store.restore(copy)
+      await writeTarget('e3')
+      let knowing: string[] = []
+      for (let step = 0; step < 80; step++) {
+        if (step === 15) await writeTarget('e2')
+        if (step === 40) for (const gateway of gateways) gateway.storeReachable = true
+        await region.virtual.advance(100)
+        chai.expect(accepting('e2'), `after ${step}`).to.have.length(30)
+        chai.expect(accepting('e3'), `after ${step}`).to.include.members(knowing)
+        knowing = accepting('e3')
+        if (step === 30) chai.expect(knowing).to.include.members(gateways.filter((gateway) => gateway.storeReachable).map((gateway) => gateway.name))
+      }
+      chai.expect(knowing).to.have.length(30)
+    })
+  }
+
   it('does not take a configuration for fresher than its relay has read it', async () => {
     const { region, gateways } = await regionOf(30)
     for (const gateway of gateways) gateway.storeReachable = false
--- a/test/fleet/fleet-feed.test.ts
+++ b/test/fleet/fleet-feed.test.ts
@@ -30,6 +30,10 @@
   readonly feed: fleet.FleetFeed
   cut = false
   failNextReads = 0
+  /** Time for which the response to the next read is in transit, in ms. */
+  nextResponseMs = 0
+  /** Time for which the next read is in transit, in ms. */
+  nextRequestMs = 0
 
   constructor (ids: readonly string[], isReader = true) {
     for (const id of ids) this.put(id)
@@ -56,6 +60,13 @@
     return this.fleet.ofService('s').some((state) => state.record.id === id && state.acceptsCalls(this.virtual.now()))
   }
 
+  /** The list as it is told to members. */
+  listed (): { era: number | undefined, ids: string[] } {
+    const { payload } = this.feed.changesSince({ gateway: 'm', incarnation: '1', kind: 'member' }, undefined)!
+    const { era, records } = payload as { era?: number, records: serving.TargetRecord[] }
+    return { era, ids: records.map((record) => record.id).sort() }
+  }
+
   /** Advances in small steps until `endMs` and returns the times at which `holds` did not hold, in ms. */
   async violations (endMs: number, holds: () => boolean): Promise<number[]> {
     const times: number[] = []
@@ -66,12 +77,21 @@
     return times
   }
 
+  private async slowList (prefix: string): ReturnType<external.ObjectStore['list']> {
+    const { nextRequestMs, nextResponseMs } = this
+    this.nextRequestMs = this.nextResponseMs = 0
+    await time.delay(this.virtual, nextRequestMs)
+    const listed = await this.store.list(prefix)
+    await time.delay(this.virtual, nextResponseMs)
+    return listed
+  }
+
   private cuttableStore (): external.ObjectStore {
     const { store } = this
     return {
       get: async (key, mode) => await store.get(key, mode),
-      list: async (prefix, mode) => {
-        if (!this.cut && this.failNextReads === 0) return await store.list(prefix, mode)
+      list: async (prefix) => {
+        if (!this.cut && this.failNextReads === 0) return await this.slowList(prefix)
         this.failNextReads = Math.max(0, this.failNextReads - 1)
         await time.delay(this.virtual, CONNECT_TIMEOUT_MS)
         return errors.Err({ kind: 'unavailable', message: 'connect timeout' })
@@ -182,6 +202,21 @@
     chai.expect(await feed.violations(feed.virtual.now() + CONTACT_MS, () => feed.accepts('a'))).to.deep.equal([])
   })
 
+  it('ignores a read of the earlier era that ends after one of the later era, though it was started later', async () => {
+    using feed = new FeedUnderTest(['a'])
+    await feed.virtual.advance(700)
+    feed.nextRequestMs = 1_200
+    await feed.virtual.advance(800)
+    feed.nextResponseMs = 600
+    await feed.virtual.advance(400)
+    feed.store.restore(feed.store.copy())
+    feed.put('b')
+    await feed.virtual.advance(150)
+    chai.expect(feed.listed()).to.deep.equal({ era: 1, ids: ['a', 'b'] })
+    await feed.virtual.advance(200)
+    chai.expect(feed.listed()).to.deep.equal({ era: 1, ids: ['a', 'b'] })
+  })
+
   describe('of a member', () => {
     const relay: exchange.Link = { gateway: 'r', incarnation: '1', kind: 'relay' }
 
@@ -214,5 +249,26 @@
       tell(feed, { ageMs: 0, complete: false, records: [], removed: [] })
       chai.expect([feed.accepts('a'), feed.accepts('c')]).to.deep.equal([true, false])
     })
+
+    it('does not go back to the list of a relay that has not noticed a restore', async () => {
+      using feed = await memberAfterOwnRead((member) => {
+        member.store.restore(member.store.copy())
+        member.put('c')
+      })
+      chai.expect(feed.listed()).to.deep.equal({ era: 1, ids: ['a', 'b', 'c'] })
+      const ageMs = feed.feed.listAgeMs
+      tell(feed, { ageMs: 0, complete: true, records: [build.aTarget('a'), build.aTarget('d')], removed: [], era: 0 })
+      chai.expect([feed.listed(), feed.feed.listAgeMs]).to.deep.equal([{ era: 1, ids: ['a', 'b', 'c'] }, ageMs])
+      tell(feed, { ageMs: 0, complete: false, records: [build.aTarget('e')], removed: ['d'], era: 1 })
+      chai.expect(feed.listed()).to.deep.equal({ era: 1, ids: ['a', 'e'] })
+    })
+
+    it('takes the list of a later era from its relay, and its age, though its own list of the earlier era seems younger', async () => {
+      using feed = await memberAfterOwnRead(() => {})
+      tell(feed, { ageMs: 3_000, complete: false, records: [build.aTarget('c')], removed: ['b'], era: 1 })
+      chai.expect(feed.listed()).to.deep.equal({ era: 1, ids: ['a', 'c'] })
+      chai.expect(feed.feed.listAgeMs).to.equal(3_000)
+      chai.expect(feed.store.eras.current).to.equal(1)
+    })
   })
 })
