Do not bring back a target that had left through an older copy of the store

Shown in virtual time only.

Cause: a target that was removed was forgotten, so the next list that has it makes it a new one, ready if the copy says so.

Ruled out: a target that is still known and marked as leaving stays so already.

Change: the fleet remembers removed targets (1,000, for 10 minutes). One that was leaving does not return under the same start. Another one is not used while the list may have records that only the copy has brought back, unless a list of that era lacked it before: then it has registered again. That time is two shortest expiries of a record (four heartbeats) after the first read of the restored list, not the 2 s of re-registration: a record that nobody writes is listed for three heartbeats. A later start, or another address or service, is a new target. target_return_ignored is logged once for each.

Bounds and starts in test/fleet/fleet.test.ts.

--- a/src/fleet/fleet-feed.ts
+++ b/src/fleet/fleet-feed.ts
@@ -32,6 +32,12 @@
 /** Time before the end of {@link REREGISTRATION_MS} at which the list is read once more, in ms. */
 const LAST_READ_MARGIN_MS = 100
 
+/**
+ * Time after the first read of a restored list, as a multiple of the shortest expiry of a record, after which records that the
+ * copy had brought back and that nobody writes are no longer listed: three heartbeats, and one as a margin.
+ */
+const COPIED_RECORD_EXPIRIES = 2
+
 /** Failed reads in a row after which the store counts as having been away; a single one may be lost on the way. */
 const OUTAGE_FAILED_READS = 2
 
@@ -76,6 +82,8 @@
   private failedReads = 0
   /** When targets whose records expired during the last outage have registered again, in ms on the monotonic clock. */
   private reregisteredAt = -Infinity
+  /** From when on a list has no records any more that only a restore has brought back, in ms on the elapsed clock. */
+  private copyExpiredAt = -Infinity
   private lastRead: Disposable | undefined
   private readsStarted = 0
   private lastAppliedRead = 0
@@ -189,11 +197,21 @@
     this.freshness.confirm(confirmedAt)
     if (!wasAway) return
     const remainingMs = REREGISTRATION_MS - (this.deps.elapsed.now() - confirmedAt)
-    if (isRestored) this.deps.log.info({ era, targets: this.list.size, for_ms: Math.round(remainingMs) }, 'target_list_restored')
+    if (isRestored) this.noteRestore(era, confirmedAt, remainingMs)
     if (this.readsForItself) this.scheduleLastRead(remainingMs - LAST_READ_MARGIN_MS)
     this.reregisteredAt = this.deps.env.clock.now() + remainingMs
   }
 
+  private noteRestore (era: number, confirmedAt: number, remainingMs: number): void {
+    this.copyExpiredAt = confirmedAt + Math.max(REREGISTRATION_MS, COPIED_RECORD_EXPIRIES * this.deps.shortestExpiryMs)
+    this.deps.log.info({ era, targets: this.list.size, for_ms: Math.round(remainingMs) }, 'target_list_restored')
+  }
+
+  /** Whether the list in use may have records of targets that had left before the last restore. */
+  private get mayListRemoved (): boolean {
+    return this.freshness.confirmedAt < this.copyExpiredAt
+  }
+
   // A member gets the list that its relay reads, unless its own read is newer.
   private get readsForItself (): boolean {
     return this.deps.isReader() || !this.followsRelay
@@ -210,7 +228,7 @@
   private applyToFleet (): void {
     this.appliedAt = this.deps.env.clock.now()
     const keepUntil = this.appliedAt < this.reregisteredAt ? this.reregisteredAt : undefined
-    this.deps.fleet.apply(this.list.records(), { era: this.era, keepUntil })
+    this.deps.fleet.apply(this.list.records(), { era: this.era, keepUntil, mayListRemoved: this.mayListRemoved })
     this.loaded = true
     if (this.failing) this.deps.log.info({ dependency: 'target_list', targets: this.list.size }, 'dependency_regained')
     this.failing = false
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -4,6 +4,7 @@
 import type * as time from '../time/index.js'
 import * as cacheUpdates from './cache-updates.js'
 import * as peerLoad from './peer-load.js'
+import * as removedTargets from './removed-targets.js'
 import * as stageSpeeds from './stage-speeds.js'
 import * as targetState from './target-state.js'
 
@@ -15,20 +16,10 @@
   readonly onRemoved: (address: string) => void
 }
 
-/** What is known of a list beside its records. */
-export interface ListStatus {
-  /** Era of the store. */
-  readonly era: number
-  /**
-   * Set after a time in which records may have expired, or were lost, though their targets still run: targets that are missing
-   * are kept until then, in ms on the monotonic clock.
-   */
-  readonly keepUntil?: number | undefined
-}
-
 /** Targets by id and by service, as of the last list in the store. */
 export class Fleet {
   private readonly targets = new Map<string, targetState.TargetState>()
+  private readonly removed = new removedTargets.RemovedTargets()
   /** Load that other gateways report. */
   readonly peerLoad: peerLoad.PeerLoad
   /** Prefill speeds of the engines, by service and stage. */
@@ -72,12 +63,13 @@
   }
 
   /** Applies a complete list: adds, updates and removes targets. */
-  apply (records: readonly serving.TargetRecord[], status: ListStatus = { era: 0 }): void {
+  apply (records: readonly serving.TargetRecord[], status: removedTargets.ListStatus = { era: 0 }): void {
     const listed = new Set<string>()
     for (const record of records) {
       listed.add(record.id)
-      this.update(record)
+      this.update(record, status)
     }
+    this.removed.noteList(listed, status)
     for (const state of [...this.targets.values()]) {
       if (listed.has(state.record.id)) state.kept = undefined
       else this.keepOrRemove(state, status)
@@ -96,8 +88,12 @@
     this.deps.onRemoved(state.record.address)
   }
 
-  private update (record: serving.TargetRecord): void {
+  private update (record: serving.TargetRecord, status: removedTargets.ListStatus): void {
     const state = this.targets.get(record.id)
+    if (state === undefined && !this.removed.admit(record, status, this.deps.clock.now())) {
+      if (this.removed.noteIgnored(record.id)) this.deps.log.info({ target: record.id, service: record.service, address: record.address, era: status.era }, 'target_return_ignored')
+      return
+    }
     // A record of an earlier incarnation that was written late.
     if (state !== undefined && record.startedAt < state.record.startedAt) return
     if (state === undefined || isRestart(state.record, record)) {
@@ -112,13 +108,14 @@
     state.record = leaving === record.leaving ? record : { ...record, leaving }
   }
 
-  private keepOrRemove (state: targetState.TargetState, { era, keepUntil }: ListStatus): void {
+  private keepOrRemove (state: targetState.TargetState, { era, keepUntil }: removedTargets.ListStatus): void {
     const now = this.deps.clock.now()
     // After a restore a target registers once more, also one that had just done so.
     const kept = state.kept !== undefined && era > state.kept.era && keepUntil !== undefined ? undefined : state.kept
     const until = kept?.until ?? keepUntil
     if (state.record.leaving || until === undefined || now >= until) {
       this.remove(state)
+      this.removed.note(state.record, era, now)
       return
     }
     if (kept !== undefined) return
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,6 +1,7 @@
 /** The known targets, with the load, KV cache and recent failures of each. */
 export { Fleet, type FleetDeps } from './fleet.js'
 export { FleetFeed, type FleetFeedDeps } from './fleet-feed.js'
+export { RemovedTargets, type ListStatus } from './removed-targets.js'
 export { TargetState } from './target-state.js'
 export { PrefillSpeed, type PrefillSpeedOptions, type PriorSpeed } from './prefill-speed.js'
 export { StageSpeeds } from './stage-speeds.js'
--- a/test/fleet/fleet-feed.test.ts
+++ b/test/fleet/fleet-feed.test.ts
@@ -13,6 +13,9 @@
 const LEAVE_BOUND_MS = 2_000
 const HEARTBEAT_MS = 1_200
 
+/** Time without a heartbeat after which the store removes a record, in ms. */
+const EXPIRY_MS = 3 * HEARTBEAT_MS
+
 /** Time within which records that expired while the store was away are back after its return, in ms. */
 const RETURN_MS = 2_000
 
@@ -48,8 +51,9 @@
     this.feed[Symbol.dispose]()
   }
 
-  put (id: string): void {
-    this.store.put(PREFIX + id, JSON.stringify(build.aTarget(id)), 'absent').catch((err: unknown) => { throw err })
+  put (id: string, overrides: Partial<serving.TargetRecord> = {}): void {
+    const key = PREFIX + id
+    this.store.put(key, JSON.stringify(build.aTarget(id, overrides)), this.store.peek(key)?.version ?? 'absent').catch((err: unknown) => { throw err })
   }
 
   remove (id: string): void {
@@ -202,6 +206,56 @@
     chai.expect(await feed.violations(feed.virtual.now() + CONTACT_MS, () => feed.accepts('a'))).to.deep.equal([])
   })
 
+  it('sends no calls to a target that had left before a restore, though the older copy lists it as ready', async () => {
+    for (let phaseMs = 0; phaseMs < 800; phaseMs += 50) {
+      using feed = new FeedUnderTest(['a', 'b', 'c'])
+      await feed.virtual.advance(500)
+      const copy = feed.store.copy()
+      feed.put('a', { leaving: true })
+      feed.remove('c')
+      await feed.virtual.advance(1_000)
+      feed.remove('a')
+      await feed.virtual.advance(1_000 + phaseMs)
+      feed.store.restore(copy)
+      const restoredAt = feed.virtual.now()
+      const noneReturned = (): boolean => !feed.accepts('a') && !feed.accepts('c') && feed.accepts('b')
+      chai.expect(await feed.violations(restoredAt + EXPIRY_MS, noneReturned), `phase ${phaseMs}, while listed`).to.deep.equal([])
+      feed.remove('c')
+      chai.expect(await feed.violations(restoredAt + EXPIRY_MS + 6_000, noneReturned), `phase ${phaseMs}, after that`).to.deep.equal([])
+      feed.put('a', { startedAt: 2 })
+      feed.put('c')
+      await feed.virtual.advance(1_000)
+      chai.expect([feed.accepts('a'), feed.accepts('c')], `phase ${phaseMs}, registered again`).to.deep.equal([true, true])
+    }
+  })
+
+  it('uses a target again that was removed before a restore, when its record stays listed after the others have expired', async () => {
+    using feed = new FeedUnderTest(['a', 'b'])
+    await feed.virtual.advance(500)
+    const copy = feed.store.copy()
+    feed.remove('a')
+    await feed.virtual.advance(2_000)
+    feed.store.restore(copy)
+    chai.expect(await feed.violations(feed.virtual.now() + EXPIRY_MS, () => !feed.accepts('a'))).to.deep.equal([])
+    await feed.violations(feed.virtual.now() + 3_000, () => true)
+    chai.expect(feed.accepts('a')).to.equal(true)
+  })
+
+  it('uses a target at once that registers in the era of a restore, though it was removed before', async () => {
+    using feed = new FeedUnderTest(['b'])
+    await feed.virtual.advance(500)
+    const copy = feed.store.copy()
+    feed.put('a')
+    await feed.virtual.advance(1_000)
+    feed.remove('a')
+    await feed.virtual.advance(1_000)
+    feed.store.restore(copy)
+    await feed.virtual.advance(1_000)
+    feed.put('a')
+    await feed.virtual.advance(1_000)
+    chai.expect(feed.accepts('a')).to.equal(true)
+  })
+
   it('ignores a read of the earlier era that ends after one of the later era, though it was started later', async () => {
     using feed = new FeedUnderTest(['a'])
     await feed.virtual.advance(700)
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -100,6 +100,31 @@
   })
 })
 
+describe('RemovedTargets', () => {
+  const RESTORED: fleet.ListStatus = { era: 1, mayListRemoved: true }
+
+  it('does not let an earlier start return from an older copy, and takes a later start or another address for a new target', () => {
+    const removed = new fleet.RemovedTargets()
+    for (const leaving of [true, false]) {
+      removed.note(build.aTarget('a', { startedAt: 5, leaving }), 0, 0)
+      chai.expect(removed.admit(build.aTarget('a', { startedAt: 4, address: '10.0.0.9:1' }), RESTORED, 1)).to.equal(false)
+      chai.expect(removed.admit(build.aTarget('a', { startedAt: 5, address: '10.0.0.9:1' }), RESTORED, 1)).to.equal(true)
+      removed.note(build.aTarget('a', { startedAt: 5, leaving }), 0, 0)
+      chai.expect(removed.admit(build.aTarget('a', { startedAt: 6 }), RESTORED, 1)).to.equal(true)
+    }
+  })
+
+  it('remembers a bounded number of targets for a bounded time', () => {
+    const removed = new fleet.RemovedTargets()
+    for (let index = 0; index < 5_000; index++) removed.note(build.aTarget(`t${index}`, { leaving: true }), 0, index)
+    chai.expect(removed.size).to.equal(1_000)
+    chai.expect([removed.admit(build.aTarget('t3999'), RESTORED, 5_000), removed.admit(build.aTarget('t4000'), RESTORED, 5_000)]).to.deep.equal([true, false])
+    removed.note(build.aTarget('late', { leaving: true }), 0, 700_000)
+    chai.expect(removed.size).to.equal(1)
+    chai.expect(removed.admit(build.aTarget('late'), RESTORED, 1_300_000)).to.equal(true)
+  })
+})
+
 describe('FailureRecord', () => {
   it('pauses an unreachable target, longer each time, and lets failures decay', () => {
     const record = new fleet.FailureRecord()
