Test that targets which left before a restore get no calls anywhere in a region

Guards, with 30 gateways in virtual time, against calls to targets that were leaving or removed before a restore, when the relays learn of it 3 s later than their members, or the members later than their relays. Fails in both cases when the fleet admits removed targets again; passes with the rule.

--- a/test/exchange/exchange.test.ts
+++ b/test/exchange/exchange.test.ts
@@ -203,6 +203,36 @@
     })
   }
 
+  for (const late of ['relays', 'members']) {
+    it(`sends no calls to targets that had left before a restore, when ${late} learn of it later than the others`, async () => {
+      const { region, gateways } = await regionOf(30)
+      const writeTarget = async (id: string, leaving: boolean): Promise<void> => await region.write(`${regions.TARGETS_PREFIX}${id}`, JSON.stringify(build.aTarget(id, { stage: 'decode', leaving })))
+      const remove = async (id: string): Promise<void> => {
+        const { key, version } = region.store.peek(`${regions.TARGETS_PREFIX}${id}`)!
+        await Promise.all([region.store.delete(key, version), region.virtual.advance(10)])
+      }
+      await writeTarget('e2', false)
+      await writeTarget('e3', false)
+      await region.virtual.advance(regions.LEAVE_BOUND_MS)
+      const copy = region.store.copy()
+      await writeTarget('e2', true)
+      await remove('e3')
+      await region.virtual.advance(regions.LEAVE_BOUND_MS)
+      await remove('e2')
+      await region.virtual.advance(regions.LEAVE_BOUND_MS)
+      for (const gateway of gateways) gateway.storeReachable = gateway.exchange.isRelay !== (late === 'relays')
+      region.store.restore(copy)
+      for (let step = 0; step < 100; step++) {
+        if (step === 35) await remove('e3')
+        if (step === 30) for (const gateway of gateways) gateway.storeReachable = true
+        await region.virtual.advance(100)
+        const calling = gateways.filter((gateway) => ['e2', 'e3'].some((id) => gateway.target(id)?.acceptsCalls(region.virtual.now()) === true))
+        chai.expect(calling.map((gateway) => gateway.name), `after ${step}`).to.deep.equal([])
+      }
+      for (const gateway of gateways) chai.expect(gateway.target('e1')!.acceptsCalls(region.virtual.now()), gateway.name).to.equal(true)
+    })
+  }
+
   it('does not take a configuration for fresher than its relay has read it', async () => {
     const { region, gateways } = await regionOf(30)
     for (const gateway of gateways) gateway.storeReachable = false
