Tell whether the list of targets is settling after an outage or a restore

Callers see nothing of it yet: it is for decisions by the number of targets, such as orders, which could take targets that are listed again for a surplus, or those whose records were lost for a shortage.

FleetFeed.isSettling holds from when a restore is known until the records that only the copy has brought back are gone, and after an outage until targets have registered again. Not used in this commit.

Evidence: two tests in test/fleet/fleet-feed.test.ts, which failed for want of the property; each of its three conditions removed alone makes one of them fail.

--- a/src/fleet/fleet-feed.ts
+++ b/src/fleet/fleet-feed.ts
@@ -118,6 +118,15 @@
     return this.freshness.ageMs
   }
 
+  /**
+   * Whether the list may lack targets that run, or have targets that had left: shortly after an outage, and after a restore
+   * until the records are gone that only the copy has brought back. Numbers of targets decide nothing meanwhile.
+   */
+  get isSettling (): boolean {
+    const isOfEarlierEra = this.listEra !== undefined && (this.deps.eras.current ?? 0) > this.listEra
+    return isOfEarlierEra || this.mayListRemoved || this.deps.env.clock.now() < this.reregisteredAt
+  }
+
   changesSince (link: exchange.Link, position: number | undefined): exchange.Changes | undefined {
     if (link.kind !== 'member' || !this.loaded) return undefined
     const complete = position === undefined || !this.list.knowsChangesSince(position)
--- a/test/fleet/fleet-feed.test.ts
+++ b/test/fleet/fleet-feed.test.ts
@@ -241,6 +241,30 @@
     chai.expect(feed.accepts('a')).to.equal(true)
   })
 
+  it('says that the list is settling from when a restore is known until nothing is listed that only the copy has', async () => {
+    using feed = new FeedUnderTest(['a', 'b'])
+    await feed.virtual.advance(1_000)
+    feed.store.restore(feed.store.copy())
+    const restoredAt = feed.virtual.now()
+    chai.expect(feed.feed.isSettling).to.equal(false)
+    feed.store.eras.note(1)
+    chai.expect(await feed.violations(restoredAt + EXPIRY_MS, () => feed.feed.isSettling)).to.deep.equal([])
+    await feed.virtual.advance(3_000)
+    chai.expect(feed.feed.isSettling).to.equal(false)
+  })
+
+  it('says that the list is settling after an outage until targets have registered again', async () => {
+    using feed = new FeedUnderTest(['a', 'b'])
+    await feed.virtual.advance(1_000)
+    feed.cut = true
+    await feed.virtual.advance(6_000)
+    feed.cut = false
+    await feed.virtual.advance(1_000)
+    chai.expect(feed.feed.isSettling).to.equal(true)
+    await feed.virtual.advance(2_000)
+    chai.expect(feed.feed.isSettling).to.equal(false)
+  })
+
   it('uses a target at once that registers in the era of a restore, though it was removed before', async () => {
     using feed = new FeedUnderTest(['b'])
     await feed.virtual.advance(500)
