Derive the fencing token of the lease from the version that is replaced

Callers saw nothing yet; found by reading after the restore of the store.

The token is now the version of the replaced object plus one; an absent object counts as revision 0 of the era. Versions rise with each write and across eras, whatever the object contains, and stay safe integers; a count never exceeds the revision, so tokens of earlier builds are lower.

--- a/src/duties/lease.ts
+++ b/src/duties/lease.ts
@@ -1,5 +1,5 @@
 /** Leader lease of the gateways: one object in the store, acquired and renewed by conditional updates. */
-import type * as external from '../external/index.js'
+import * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import type * as serving from '../serving/index.js'
 import * as time from '../time/index.js'
@@ -41,6 +41,7 @@
   readonly env: time.Env
   readonly elapsed: serving.ElapsedClock
   readonly store: external.ObjectStore
+  readonly eras: external.StoreEras
   readonly holder: string
   readonly incarnation: string
   /** Time that a new holder waits after a release so that two holders do not alternate within it, in ms. */
@@ -68,6 +69,8 @@
   private observed: ObservedLease | undefined
   private task: Disposable | undefined
   private stopped = false
+  /** Highest version of the object that this process has seen. */
+  private seenVersion = 0
 
   constructor (private readonly deps: LeaseDeps) {}
 
@@ -131,19 +134,25 @@
       await this.acquire(undefined, 'absent')
       return
     }
+    const { version } = stored.val
+    this.seenVersion = Math.max(this.seenVersion, version)
     const parsed = LeaseValue.safeParse(JSON.parse(stored.val.value))
     const value = parsed.success ? parsed.data : undefined
     const isOwn = value !== undefined && value.incarnation === this.deps.incarnation && !value.released
     if (isOwn && mode === 'stale_ok') return await this.check('default')
     if (isOwn) {
-      this.resumeOwn(value, stored.val.version, startedAt)
+      this.resumeOwn(value, version, startedAt)
       return
     }
     if (this.heldLease !== undefined) this.dropLease('held by another process')
-    if (this.observed?.version !== stored.val.version) this.observed = { version: stored.val.version, observedAt: startedAt }
+    if (this.observed?.version !== version) this.observed = { version, observedAt: startedAt }
     if (value?.released !== true && startedAt - this.observed.observedAt < TAKEOVER_AFTER_MS) return
     if (mode === 'stale_ok') await this.check('default')
-    else await this.acquire(value, stored.val.version)
+    else await this.acquire(value, version)
+  }
+
+  private get era (): number {
+    return this.deps.eras.current ?? 0
   }
 
   // Resumes a lease of this process: a write whose reply was lost took effect.
@@ -153,12 +162,18 @@
     this.heldLease = { value, version, validUntil: startedAt + VALIDITY_MS, actFrom }
   }
 
+  // The token is above the version that is replaced, so it rises with each acquisition and, as versions do, across restores,
+  // whatever the replaced object contains.
+  private nextToken (expected: external.ExpectedVersion): number {
+    return (expected === 'absent' ? Math.max(external.storeVersion(this.era, 0), this.seenVersion) : expected) + 1
+  }
+
   private async acquire (previous: LeaseValue | undefined, expected: external.ExpectedVersion): Promise<void> {
     const startedAt = this.deps.elapsed.now()
     const value: LeaseValue = {
       holder: this.deps.holder,
       incarnation: this.deps.incarnation,
-      token: (previous?.token ?? 0) + 1,
+      token: this.nextToken(expected),
       renewal: 0,
       released: false
     }
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -113,7 +113,7 @@
     this.directory = new directory.Directory({ env, store, self, roster: this.roster, isRelay, ready: () => this.ready, log })
     this.cacheFeed = this.createCacheFeed()
     const takeoverDelayMs = settings.bounds.takeoverDelayMs
-    this.lease = new duties.Lease({ env, elapsed: this.elapsed, store, holder: settings.name, incarnation: settings.incarnation, takeoverDelayMs, contends: isRelay, log })
+    this.lease = new duties.Lease({ env, elapsed: this.elapsed, store, eras: deps.eras, holder: settings.name, incarnation: settings.incarnation, takeoverDelayMs, contends: isRelay, log })
     const collector = new duties.UsageCollector({ peers: this.peers, ledger: this.usageLedger, relayAddresses: () => this.exchange.fellowAddresses() })
     this.usageCloser = new duties.UsageCloser({ env, store, lease: this.lease, dutyApi: deps.dutyApi, collector, windowMs, log })
     this.targetOrders = this.createTargetOrders()
--- a/test/duties/duties.test.ts
+++ b/test/duties/duties.test.ts
@@ -1,6 +1,7 @@
 import * as chai from 'chai'
 import * as duties from '../../src/duties/index.js'
 import * as errors from '../../src/errors/index.js'
+import * as external from '../../src/external/index.js'
 import * as log from '../../src/log/index.js'
 import * as serving from '../../src/serving/index.js'
 import * as standin from '../../src/standin/index.js'
@@ -9,7 +10,8 @@
 const WINDOW_MS = 5_000
 
 function createLease (virtual: time.VirtualTime, store: standin.MemoryStore, holder: string): duties.Lease {
-  return new duties.Lease({ env: virtual.env(1), elapsed: new serving.ElapsedClock(virtual), store, holder, incarnation: `${holder}-1`, takeoverDelayMs: 3_000, contends: () => true, log: log.SILENT_LOGGER })
+  const eras = new external.StoreEras()
+  return new duties.Lease({ env: virtual.env(1), elapsed: new serving.ElapsedClock(virtual), store: store.client(eras), eras, holder, incarnation: `${holder}-1`, takeoverDelayMs: 3_000, contends: () => true, log: log.SILENT_LOGGER })
 }
 
 describe('Lease', () => {
