Take over a lease object that is not JSON

It is now taken over as one of an unknown holder: after 3.5 s without a change, with a token above its version.

Test: test/duties/lease-restore.test.ts, failed before ("not json: expected undefined to be a number"), passes now.

--- a/src/duties/lease.ts
+++ b/src/duties/lease.ts
@@ -4,6 +4,7 @@
 import type * as serving from '../serving/index.js'
 import * as time from '../time/index.js'
 import * as z from 'zod'
+import * as storedJson from './stored-json.js'
 import type * as types from './types.js'
 
 /** Key of the lease object. */
@@ -136,8 +137,7 @@
     }
     const { version } = stored.val
     this.seenVersion = Math.max(this.seenVersion, version)
-    const parsed = LeaseValue.safeParse(JSON.parse(stored.val.value))
-    const value = parsed.success ? parsed.data : undefined
+    const value = storedJson.decodeStored(LeaseValue, stored.val)
     const isOwn = value !== undefined && value.incarnation === this.deps.incarnation && !value.released
     if (isOwn && mode === 'stale_ok') return await this.check('default')
     if (isOwn) {
--- a/test/duties/lease-restore.test.ts
+++ b/test/duties/lease-restore.test.ts
@@ -93,4 +93,20 @@
     chai.expect(b.stamp()).not.to.equal(undefined)
     scene.verify()
   })
+
+  it('is not stopped for ever by an object that is not a lease, nor taken over sooner or with a lower token', async () => {
+    for (const value of ['not json', 'null', '{"holder":"x"}']) {
+      const scene = new Scene()
+      const a = scene.start('a')
+      const b = scene.start('b')
+      await scene.virtual.advance(5_500)
+      const token = (a.stamp() ?? b.stamp())!.token
+      await scene.overwrite(value)
+      const from = scene.virtual.now()
+      await scene.virtual.advance(10_000)
+      chai.expect((a.stamp() ?? b.stamp())?.token, value).to.be.greaterThan(token)
+      chai.expect(scene.sent.find((stamp) => stamp.token > token)!.at - from, value).to.be.at.least(3_000)
+      scene.verify()
+    }
+  })
 })
