Wait before acting on a lease whose last holder a restore may have lost

A new holder acted at once where the object was absent, or released by the same gateway. After a restore both may be an older state: a holder of the lost seconds that is cut off from the store acts on for 1.8 s, with another token.

Only an object that was observed unchanged for 3.5 s lets the new holder act at once. In all other cases it waits the takeover delay, 2.7 s at least, from the start of its write, which it sends after it has seen the era; a write that took effect in a later one is not accepted. A process that starts after the restore need not know of it. The shortcut after a release by the same gateway is gone: it also allowed a holder that was still waiting to pass the lease on without the wait. The first holder of a new system waits too; the test in duties.test.ts that expected it to act after 2 s now also checks that it does not act before.

--- a/src/duties/lease.ts
+++ b/src/duties/lease.ts
@@ -22,6 +22,12 @@
  */
 const TAKEOVER_AFTER_MS = 3_500
 
+/**
+ * Shortest time that a new holder waits when the object does not show who held the lease last, in ms. A holder whose
+ * renewals a restore of the store has lost acts for the validity after it, and calls that it sent then may still arrive.
+ */
+const MIN_WAIT_MS = 2_700
+
 const LeaseValue = z.object({
   holder: z.string(),
   /** Differs at each start of a process. */
@@ -45,7 +51,7 @@
   readonly eras: external.StoreEras
   readonly holder: string
   readonly incarnation: string
-  /** Time that a new holder waits after a release so that two holders do not alternate within it, in ms. */
+  /** Time that a new holder waits after a release or a restore so that holders do not alternate within it, in ms. */
   readonly takeoverDelayMs: number
   /** Whether this gateway takes over a lease that nobody holds; a few gateways are enough. */
   readonly contends: () => boolean
@@ -167,11 +173,15 @@
 
   // Resumes a lease of this process: a write whose reply was lost took effect.
   private resumeOwn (value: LeaseValue, version: number, startedAt: number): void {
-    const actFrom = this.heldLease?.actFrom ?? startedAt + this.deps.takeoverDelayMs
+    const actFrom = this.heldLease?.actFrom ?? startedAt + this.waitMs
     if (this.heldLease === undefined) this.deps.log.info({ token: value.token, after_lost_reply: true }, 'lease_taken')
     this.heldLease = { value, version, validUntil: startedAt + VALIDITY_MS, actFrom }
   }
 
+  private get waitMs (): number {
+    return Math.max(this.deps.takeoverDelayMs, MIN_WAIT_MS)
+  }
+
   // The token is above the version that is replaced, so it rises with each acquisition and, as versions do, across restores,
   // whatever the replaced object contains.
   private nextToken (expected: external.ExpectedVersion): number {
@@ -189,8 +199,10 @@
     }
     const put = await this.deps.store.put(LEASE_KEY, JSON.stringify(value), expected)
     if (put.err || this.stopped || !this.isCurrent(value, put.val.version)) return
-    // After a release the previous holder may have just acted; holders must not alternate within the takeover delay.
-    const actFrom = previous?.released === true && previous.holder !== this.deps.holder ? startedAt + this.deps.takeoverDelayMs : startedAt
+    // Unless the object was observed unchanged for the takeover time, a previous holder may act still or have just acted:
+    // after a release, and where a restore has lost what it wrote.
+    const isObserved = expected !== 'absent' && previous?.released !== true && previous?.incarnation !== this.deps.incarnation
+    const actFrom = isObserved ? startedAt : startedAt + this.waitMs
     this.heldLease = { value, version: put.val.version, validUntil: startedAt + VALIDITY_MS, actFrom }
     this.deps.log.info({ token: value.token, previous_holder: previous?.holder, previous_released: previous?.released }, 'lease_taken')
   }
--- a/test/duties/duties.test.ts
+++ b/test/duties/duties.test.ts
@@ -20,7 +20,10 @@
     const store = new standin.MemoryStore(virtual)
     const leases = ['a', 'b', 'c'].map((holder) => createLease(virtual, store, holder))
     for (const lease of leases) lease.start()
-    await virtual.advance(2_000)
+    // A store without a lease may have been restored from a copy without it, so the first holder waits too.
+    await virtual.advance(3_900)
+    chai.expect(leases.filter((lease) => lease.stamp() !== undefined)).to.have.length(0)
+    await virtual.advance(600)
     const first = leases.filter((lease) => lease.stamp() !== undefined)
     chai.expect(first).to.have.length(1)
     const token = first[0]!.stamp()!.token
