Forget a surplus of targets on a shortage and with the lease

surplusSince was deleted only when the number of targets was as desired, so after a change from surplus to shortage, or a loss of the lease, a later short surplus was released without the 1.5 s wait (docs/findings.md), and a released target does not come back. It is now deleted on a shortage, and all of them with the lease.

Test: test/duties/target-orders.test.ts, failed before ("expected 1300 to be at least 1500", "expected 302 to be at least 1500"), passes now.

--- a/src/duties/target-orders.ts
+++ b/src/duties/target-orders.ts
@@ -34,7 +34,7 @@
 export interface TargetOrdersDeps {
   readonly env: time.Env
   readonly store: external.ObjectStore
-  readonly lease: lease.Lease
+  readonly lease: Pick<lease.Lease, 'stamp'>
   readonly dutyApi: types.DutyApi
   readonly fleet: fleet.Fleet
   readonly services: () => Iterable<serving.ServingService>
@@ -72,6 +72,7 @@
     this.trackTargetCount()
     if (this.deps.lease.stamp() === undefined) {
       this.placedOrders.clear()
+      this.surplusSince.clear()
       this.sizes = undefined
       return
     }
@@ -125,7 +126,8 @@
       if (this.placedOrders.get(key)?.count !== desired.count) this.placedOrders.delete(key)
       return
     }
-    if (desired.count < presentCount && !this.surplusPersists(key, now)) return
+    if (desired.count > presentCount) this.surplusSince.delete(key)
+    else if (!this.surplusPersists(key, now)) return
     const lastOrder = this.placedOrders.get(key)
     if (lastOrder !== undefined && lastOrder.count === desired.count && now < lastOrder.reorderAt) return
     const stamp = this.deps.lease.stamp()
--- /dev/null
+++ b/test/duties/target-orders.test.ts
@@ -0,0 +1,96 @@
+import * as chai from 'chai'
+import * as duties from '../../src/duties/index.js'
+import * as errors from '../../src/errors/index.js'
+import * as external from '../../src/external/index.js'
+import * as log from '../../src/log/index.js'
+import * as serving from '../../src/serving/index.js'
+import * as standin from '../../src/standin/index.js'
+import * as time from '../../src/time/index.js'
+import * as build from '../support/gateway-builders.js'
+
+const DOMAINS = ['w', 'c', 'e']
+const STAMP: duties.LeaseStamp = { holder: 'a', token: 1 }
+
+/** Target orders of one gateway; a test sets the targets that are listed and whether the lease is held. */
+class Scene {
+  readonly virtual = new time.VirtualTime()
+  readonly store = new standin.MemoryStore(this.virtual)
+  readonly eras = new external.StoreEras()
+  readonly fleet = build.aFleet(this.virtual, [])
+  readonly sent: Array<duties.DesiredTargets & { readonly at: number }> = []
+  holdsLease = true
+
+  constructor (deliveryMs: number) {
+    const limits: serving.OrderLimits = { min: 1, max: 4, deliveryMs, preemptiblePrice: 0.22, domainPrices: new Map() }
+    const dutyApi: duties.DutyApi = {
+      reportUsage: async () => errors.Ok(undefined),
+      orderTargets: async (_stamp, desired) => {
+        this.sent.push({ ...desired, at: this.virtual.now() })
+        return errors.Ok(undefined)
+      }
+    }
+    const lease = { stamp: () => this.holdsLease ? STAMP : undefined }
+    const services = [build.aService({ orders: limits })]
+    new duties.TargetOrders({ env: this.virtual.env(1), store: this.store.client(this.eras), lease, dutyApi, fleet: this.fleet, services: () => services, domains: DOMAINS, log: log.SILENT_LOGGER }).start()
+  }
+
+  /** Lists `standard` and `preemptible` targets in the domains, in their order. */
+  list (standard: number[], preemptible: number[]): void {
+    const targets = (counts: number[], isPreemptible: boolean): serving.TargetRecord[] => DOMAINS.flatMap((domain, index) =>
+      Array.from({ length: counts[index]! }, (_, number) => build.aTarget(`${domain}${isPreemptible ? 'p' : ''}${number}`, { domain, preemptible: isPreemptible, address: `10.0.${index}.${number}:${isPreemptible ? 2 : 1}` })))
+    this.fleet.apply([...targets(standard, false), ...targets(preemptible, true)])
+  }
+
+  /** Stores a size of six, and lists as many targets besides as are ordered for it. */
+  async startWithSix (): Promise<void> {
+    this.list([2, 2, 2], [0, 0, 0])
+    await this.virtual.advance(4_000)
+    this.list([2, 2, 2], [2, 2, 2])
+    await this.virtual.advance(4_000)
+    this.sent.length = 0
+  }
+
+  restore (copy: ReturnType<standin.MemoryStore['copy']>): void {
+    this.store.restore(copy)
+    this.eras.note(this.store.era)
+  }
+
+  sizes (): unknown {
+    const value = this.store.peek(duties.SIZES_KEY)?.value
+    return value === undefined ? undefined : JSON.parse(value)
+  }
+
+  ordersOf (domain: string, preemptible: boolean): Array<duties.DesiredTargets & { readonly at: number }> {
+    return this.sent.filter((order) => order.domain === domain && order.preemptible === preemptible)
+  }
+}
+
+describe('TargetOrders', () => {
+  it('does not release a surplus on the strength of an earlier one when there was a shortage in between', async () => {
+    const scene = new Scene(100)
+    await scene.startWithSix()
+    scene.list([2, 2, 2], [2, 2, 3])
+    await scene.virtual.advance(700)
+    scene.list([2, 2, 2], [2, 2, 1])
+    await scene.virtual.advanceUntil(() => scene.ordersOf('e', true).length > 0, 3_000)
+    await scene.virtual.advance(800)
+    scene.list([2, 2, 2], [2, 2, 3])
+    const from = scene.virtual.now()
+    await scene.virtual.advance(6_000)
+    const release = scene.ordersOf('e', true).find((order) => order.at > from)
+    chai.expect(release!.at - from).to.be.at.least(1_500)
+  })
+
+  it('does not release a surplus on the strength of an earlier one when the lease was lost in between', async () => {
+    const scene = new Scene(100)
+    await scene.startWithSix()
+    scene.list([2, 2, 2], [2, 2, 3])
+    await scene.virtual.advance(700)
+    scene.holdsLease = false
+    await scene.virtual.advance(5_000)
+    scene.holdsLease = true
+    const from = scene.virtual.now()
+    await scene.virtual.advance(6_000)
+    chai.expect(scene.ordersOf('e', true)[0]!.at - from).to.be.at.least(1_500)
+  })
+})
