Replace stored sizes of services that are not JSON

JSON.parse and a strict decode in TargetOrders.readSizes made each run throw when another writer had left another object (target_orders_failed): no target was ordered again. Such an object is now replaced, under its version, as a missing one is written.

Test: test/duties/target-orders.test.ts, failed before ("SyntaxError: Unexpected token 'o'"), passes now.

--- a/src/duties/target-orders.ts
+++ b/src/duties/target-orders.ts
@@ -7,6 +7,7 @@
 import * as z from 'zod'
 import type * as lease from './lease.js'
 import * as orderPlan from './order-plan.js'
+import * as storedJson from './stored-json.js'
 import type * as types from './types.js'
 
 /** Key of the initial sizes: the number of targets of each service when the system was first started. */
@@ -94,12 +95,13 @@
   private async readSizes (services: readonly serving.ServingService[]): Promise<Sizes | undefined> {
     const stored = await this.deps.store.get(SIZES_KEY)
     if (stored.err) return undefined
-    if (stored.val !== undefined) return Sizes.parse(JSON.parse(stored.val.value))
+    const known = stored.val === undefined ? undefined : storedJson.decodeStored(Sizes, stored.val)
+    if (known !== undefined) return known
     if (this.targetCount === 0 || this.deps.env.clock.now() - this.targetCountSince < SIZE_SETTLE_MS) return undefined
     const sizes = Object.fromEntries(services.map((service) => [service.name, this.deps.fleet.ofService(service.name).length]))
-    const put = await this.deps.store.put(SIZES_KEY, JSON.stringify(sizes), 'absent')
+    const put = await this.deps.store.put(SIZES_KEY, JSON.stringify(sizes), stored.val?.version ?? 'absent')
     if (put.err) return undefined
-    this.deps.log.info({ sizes }, 'service_sizes_stored')
+    this.deps.log.info({ sizes, malformed: stored.val !== undefined }, 'service_sizes_stored')
     return sizes
   }
 
--- a/test/duties/target-orders.test.ts
+++ b/test/duties/target-orders.test.ts
@@ -93,4 +93,13 @@
     await scene.virtual.advance(6_000)
     chai.expect(scene.ordersOf('e', true)[0]!.at - from).to.be.at.least(1_500)
   })
+
+  it('replaces stored sizes that are not JSON, instead of never ordering again', async () => {
+    const scene = new Scene(4_000)
+    await Promise.all([scene.store.put(duties.SIZES_KEY, 'not json', 'absent'), scene.virtual.advance(10)])
+    scene.list([2, 2, 2], [0, 0, 0])
+    await scene.virtual.advance(4_000)
+    chai.expect(scene.sizes()).to.deep.equal({ s: 6 })
+    chai.expect(scene.sent).to.have.length(3)
+  })
 })
