Write the known sizes of services again that a restore has lost

The initial sizes were written once, and forgotten with the lease.

A process keeps the sizes that it has read or written for its life. The holder reads the object once for each time that it holds the lease and each era, as before; what is stored counts, and if nothing is, the known sizes are written. No other call is added.

Test: test/duties/target-orders.test.ts (two cases), failed before ("expected { s: 4 } to deeply equal { s: 6 }", "expected undefined to deeply equal { s: 6 }"), passes now.

--- a/src/duties/target-orders.ts
+++ b/src/duties/target-orders.ts
@@ -1,5 +1,5 @@
 /** Orders targets while this gateway holds the lease. */
-import type * as external from '../external/index.js'
+import * as external from '../external/index.js'
 import type * as fleet from '../fleet/index.js'
 import type * as log from '../log/index.js'
 import type * as serving from '../serving/index.js'
@@ -35,6 +35,7 @@
 export interface TargetOrdersDeps {
   readonly env: time.Env
   readonly store: external.ObjectStore
+  readonly eras: external.StoreEras
   readonly lease: Pick<lease.Lease, 'stamp'>
   readonly dutyApi: types.DutyApi
   readonly fleet: fleet.Fleet
@@ -51,7 +52,10 @@
 /** Keeps the number of targets at the planned number. */
 export class TargetOrders implements Disposable {
   private task: Disposable | undefined
+  /** Kept for the life of the process, as a restore of the store may lose the object. */
   private sizes: Sizes | undefined
+  /** Era in which this holder has read or written the stored sizes. */
+  private sizesEra: number | undefined
   private readonly placedOrders = new Map<string, PlacedOrder>()
   private readonly surplusSince = new Map<string, number>()
   private targetCount = -1
@@ -74,14 +78,14 @@
     if (this.deps.lease.stamp() === undefined) {
       this.placedOrders.clear()
       this.surplusSince.clear()
-      this.sizes = undefined
+      this.sizesEra = undefined
       return
     }
     const services = [...this.deps.services()].filter((service) => service.orders !== undefined)
     if (services.length === 0) return
-    this.sizes ??= await this.readSizes(services)
-    if (this.sizes === undefined) return
-    for (const service of services) await this.orderTargets(service, this.sizes[service.name] ?? 0)
+    const sizes = await this.confirmedSizes(services)
+    if (sizes === undefined) return
+    for (const service of services) await this.orderTargets(service, sizes[service.name] ?? 0)
   }
 
   private trackTargetCount (): void {
@@ -91,17 +95,27 @@
     this.targetCountSince = this.deps.env.clock.now()
   }
 
-  /** Reads the stored sizes; they are written once, when the initial targets have been listed. */
-  private async readSizes (services: readonly serving.ServingService[]): Promise<Sizes | undefined> {
+  private async confirmedSizes (services: readonly serving.ServingService[]): Promise<Sizes | undefined> {
+    if (this.sizes !== undefined && this.sizesEra !== undefined && this.sizesEra === this.deps.eras.current) return this.sizes
     const stored = await this.deps.store.get(SIZES_KEY)
     if (stored.err) return undefined
-    const known = stored.val === undefined ? undefined : storedJson.decodeStored(Sizes, stored.val)
-    if (known !== undefined) return known
-    if (this.targetCount === 0 || this.deps.env.clock.now() - this.targetCountSince < SIZE_SETTLE_MS) return undefined
-    const sizes = Object.fromEntries(services.map((service) => [service.name, this.deps.fleet.ofService(service.name).length]))
-    const put = await this.deps.store.put(SIZES_KEY, JSON.stringify(sizes), stored.val?.version ?? 'absent')
+    const sizes = stored.val === undefined ? undefined : storedJson.decodeStored(Sizes, stored.val)
+    if (stored.val === undefined || sizes === undefined) return await this.storeSizes(services, stored.val?.version ?? 'absent')
+    this.sizes = sizes
+    this.sizesEra = external.eraOf(stored.val.version)
+    return sizes
+  }
+
+  /** Stores the sizes, those that this process knows before the present ones, once the targets have been listed. */
+  private async storeSizes (services: readonly serving.ServingService[], expected: external.ExpectedVersion): Promise<Sizes | undefined> {
+    const isSettled = this.targetCount > 0 && this.deps.env.clock.now() - this.targetCountSince >= SIZE_SETTLE_MS
+    if (this.sizes === undefined && !isSettled) return undefined
+    const sizes = this.sizes ?? Object.fromEntries(services.map((service) => [service.name, this.deps.fleet.ofService(service.name).length]))
+    const put = await this.deps.store.put(SIZES_KEY, JSON.stringify(sizes), expected)
     if (put.err) return undefined
-    this.deps.log.info({ sizes, malformed: stored.val !== undefined }, 'service_sizes_stored')
+    this.deps.log.info({ sizes, known: this.sizes !== undefined, malformed: expected !== 'absent' }, 'service_sizes_stored')
+    this.sizes = sizes
+    this.sizesEra = external.eraOf(put.val.version)
     return sizes
   }
 
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -224,7 +224,7 @@
   private createTargetOrders (): duties.TargetOrders {
     const { env, store, dutyApi, settings, log } = this.deps
     const services = (): Iterable<serving.ServingService> => this.feed.current()?.config.services.values() ?? []
-    return new duties.TargetOrders({ env, store, lease: this.lease, dutyApi, fleet: this.fleet, services, domains: settings.domains, log })
+    return new duties.TargetOrders({ env, store, eras: this.deps.eras, lease: this.lease, dutyApi, fleet: this.fleet, services, domains: settings.domains, log })
   }
 
   private createGateway (): gateway.Gateway {
--- a/test/duties/target-orders.test.ts
+++ b/test/duties/target-orders.test.ts
@@ -31,7 +31,7 @@
     }
     const lease = { stamp: () => this.holdsLease ? STAMP : undefined }
     const services = [build.aService({ orders: limits })]
-    new duties.TargetOrders({ env: this.virtual.env(1), store: this.store.client(this.eras), lease, dutyApi, fleet: this.fleet, services: () => services, domains: DOMAINS, log: log.SILENT_LOGGER }).start()
+    new duties.TargetOrders({ env: this.virtual.env(1), store: this.store.client(this.eras), eras: this.eras, lease, dutyApi, fleet: this.fleet, services: () => services, domains: DOMAINS, log: log.SILENT_LOGGER }).start()
   }
 
   /** Lists `standard` and `preemptible` targets in the domains, in their order. */
@@ -66,6 +66,34 @@
 }
 
 describe('TargetOrders', () => {
+  it('stores the initial sizes again that a restore has lost, not the present number of targets', async () => {
+    const scene = new Scene(4_000)
+    const copy = scene.store.copy()
+    scene.list([2, 2, 2], [0, 0, 0])
+    await scene.virtual.advance(4_000)
+    chai.expect(scene.sizes()).to.deep.equal({ s: 6 })
+    scene.list([0, 2, 2], [0, 0, 0])
+    scene.holdsLease = false
+    scene.restore(copy)
+    await scene.virtual.advance(3_000)
+    scene.holdsLease = true
+    await scene.virtual.advance(5_000)
+    chai.expect(scene.sizes()).to.deep.equal({ s: 6 })
+  })
+
+  it('stores the sizes again also when the holder did not lose the lease', async () => {
+    const scene = new Scene(4_000)
+    const copy = scene.store.copy()
+    scene.list([2, 2, 2], [0, 0, 0])
+    await scene.virtual.advance(4_000)
+    scene.restore(copy)
+    await scene.virtual.advance(5_000)
+    chai.expect(scene.sizes()).to.deep.equal({ s: 6 })
+    const reads = scene.store.calls.reads
+    await scene.virtual.advance(5_000)
+    chai.expect(scene.store.calls.reads).to.equal(reads)
+  })
+
   it('does not release a surplus on the strength of an earlier one when there was a shortage in between', async () => {
     const scene = new Scene(100)
     await scene.startWithSix()
