--- a/src/duties/lease.ts
+++ b/src/duties/lease.ts
@@ -1,9 +1,10 @@
 /** Leader lease of the gateways: one object in the store, acquired and renewed by conditional updates. */
-import type * as external from '../external/index.js'
+import * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import type * as serving from '../serving/index.js'
 import * as time from '../time/index.js'
 import * as z from 'zod'
+import * as storedJson from './stored-json.js'
 import type * as types from './types.js'
 
 /** Key of the lease object. */
@@ -21,6 +22,12 @@
  */
 const TAKEOVER_AFTER_MS = 3_500
 
+/**
+ * Shortest time that a new holder waits when the object does not show who held the lease last, in ms. A holder whose
+ * renewals a restore of the store has lost acts for the validity after it, and calls that it sent then may still arrive.
+ */
+const MIN_WAIT_MS = 2_700
+
 const LeaseValue = z.object({
   holder: z.string(),
   /** Differs at each start of a process. */
@@ -41,9 +48,10 @@
   readonly env: time.Env
   readonly elapsed: serving.ElapsedClock
   readonly store: external.ObjectStore
+  readonly eras: external.StoreEras
   readonly holder: string
   readonly incarnation: string
-  /** Time that a new holder waits after a release so that two holders do not alternate within it, in ms. */
+  /** Time that a new holder waits after a release or a restore so that holders do not alternate within it, in ms. */
   readonly takeoverDelayMs: number
   /** Whether this gateway takes over a lease that nobody holds; a few gateways are enough. */
   readonly contends: () => boolean
@@ -68,8 +76,12 @@
   private observed: ObservedLease | undefined
   private task: Disposable | undefined
   private stopped = false
+  /** Highest version of the object that this process has seen. */
+  private seenVersion = 0
 
-  constructor (private readonly deps: LeaseDeps) {}
+  constructor (private readonly deps: LeaseDeps) {
+    deps.eras.onRestored(() => { if (this.heldLease !== undefined) this.dropLease('store restored') })
+  }
 
   /** Starts to acquire and renew the lease. */
   start (): void {
@@ -105,7 +117,8 @@
     const startedAt = this.deps.elapsed.now()
     const value = { ...lease.value, renewal: lease.value.renewal + 1 }
     const put = await this.deps.store.put(LEASE_KEY, JSON.stringify(value), lease.version)
-    if (this.stopped) return
+    // A reply of a later era has made this process give the lease up.
+    if (this.stopped || this.heldLease !== lease) return
     if (put.ok) {
       this.heldLease = { ...lease, value, version: put.val.version, validUntil: startedAt + VALIDITY_MS }
       return
@@ -128,44 +141,68 @@
     if (stored.err || this.stopped) return
     if (stored.val === undefined && mode === 'stale_ok') return await this.check('default')
     if (stored.val === undefined) {
+      if (this.heldLease !== undefined) this.dropLease('object is absent')
       await this.acquire(undefined, 'absent')
       return
     }
-    const parsed = LeaseValue.safeParse(JSON.parse(stored.val.value))
-    const value = parsed.success ? parsed.data : undefined
+    const { version } = stored.val
+    if (external.eraOf(version) < this.era) return
+    this.seenVersion = Math.max(this.seenVersion, version)
+    const value = storedJson.decodeStored(LeaseValue, stored.val)
     const isOwn = value !== undefined && value.incarnation === this.deps.incarnation && !value.released
     if (isOwn && mode === 'stale_ok') return await this.check('default')
-    if (isOwn) {
-      this.resumeOwn(value, stored.val.version, startedAt)
+    if (isOwn && this.isCurrent(value, version)) {
+      this.resumeOwn(value, version, startedAt)
       return
     }
     if (this.heldLease !== undefined) this.dropLease('held by another process')
-    if (this.observed?.version !== stored.val.version) this.observed = { version: stored.val.version, observedAt: startedAt }
-    if (value?.released !== true && startedAt - this.observed.observedAt < TAKEOVER_AFTER_MS) return
+    if (this.observed?.version !== version) this.observed = { version, observedAt: startedAt }
+    if (!isOwn && value?.released !== true && startedAt - this.observed.observedAt < TAKEOVER_AFTER_MS) return
     if (mode === 'stale_ok') await this.check('default')
-    else await this.acquire(value, stored.val.version)
+    else await this.acquire(value, version)
+  }
+
+  private get era (): number {
+    return this.deps.eras.current ?? 0
+  }
+
+  // Whether a lease was acquired in the store's present era, and the object with it has been written in that era.
+  private isCurrent (value: LeaseValue, version: number): boolean {
+    return external.eraOf(value.token) === external.eraOf(version) && external.eraOf(version) >= this.era
   }
 
   // Resumes a lease of this process: a write whose reply was lost took effect.
   private resumeOwn (value: LeaseValue, version: number, startedAt: number): void {
-    const actFrom = this.heldLease?.actFrom ?? startedAt + this.deps.takeoverDelayMs
+    const actFrom = this.heldLease?.actFrom ?? startedAt + this.waitMs
     if (this.heldLease === undefined) this.deps.log.info({ token: value.token, after_lost_reply: true }, 'lease_taken')
     this.heldLease = { value, version, validUntil: startedAt + VALIDITY_MS, actFrom }
   }
 
+  private get waitMs (): number {
+    return Math.max(this.deps.takeoverDelayMs, MIN_WAIT_MS)
+  }
+
+  // The token is above the version that is replaced, so it rises with each acquisition and, as versions do, across restores,
+  // whatever the replaced object contains.
+  private nextToken (expected: external.ExpectedVersion): number {
+    return (expected === 'absent' ? Math.max(external.storeVersion(this.era, 0), this.seenVersion) : expected) + 1
+  }
+
   private async acquire (previous: LeaseValue | undefined, expected: external.ExpectedVersion): Promise<void> {
     const startedAt = this.deps.elapsed.now()
     const value: LeaseValue = {
       holder: this.deps.holder,
       incarnation: this.deps.incarnation,
-      token: (previous?.token ?? 0) + 1,
+      token: this.nextToken(expected),
       renewal: 0,
       released: false
     }
     const put = await this.deps.store.put(LEASE_KEY, JSON.stringify(value), expected)
-    if (put.err || this.stopped) return
-    // After a release the previous holder may have just acted; holders must not alternate within the takeover delay.
-    const actFrom = previous?.released === true && previous.holder !== this.deps.holder ? startedAt + this.deps.takeoverDelayMs : startedAt
+    if (put.err || this.stopped || !this.isCurrent(value, put.val.version)) return
+    // Unless the object was observed unchanged for the takeover time, a previous holder may act still or have just acted:
+    // after a release, and where a restore has lost what it wrote.
+    const isObserved = expected !== 'absent' && previous?.released !== true && previous?.incarnation !== this.deps.incarnation
+    const actFrom = isObserved ? startedAt : startedAt + this.waitMs
     this.heldLease = { value, version: put.val.version, validUntil: startedAt + VALIDITY_MS, actFrom }
     this.deps.log.info({ token: value.token, previous_holder: previous?.holder, previous_released: previous?.released }, 'lease_taken')
   }
