Register a gateway again after the store was restored without it

Callers were not given a gateway, and gateways that started later did not find it, when its registration was written in the seconds that a restore of the store lost: it stayed unregistered until its next start.

Cause: a registration that was once acknowledged counted as stored for good. Ruled out: the periodic reads of the list, which only look at the other gateways.

A registration of an earlier era than the latest one counts as outdated, whoever told this gateway of the restore; the check every 500 ms then reads the gateway's own object and writes it unless the copy has it (one read and at most one write; the list is not read again). An earlier incarnation in the copy is replaced. gateway_registered_again is logged.

That a gateway that ended in the lost seconds is not recommended, and counts as up only for the grace of a listed one, held before and is now tested.

--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -1,6 +1,7 @@
 /** Registers this gateway, finds the others in the store, and chooses those that are recommended to callers. */
+import type * as errors from '../errors/index.js'
 import * as exchange from '../exchange/index.js'
-import type * as external from '../external/index.js'
+import * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import * as time from '../time/index.js'
 
@@ -31,6 +32,7 @@
 export interface DirectoryDeps {
   readonly env: time.Env
   readonly store: external.ObjectStore
+  readonly eras: external.StoreEras
   readonly self: exchange.GatewayRecord
   readonly roster: exchange.Roster
   /** Whether this gateway is a relay. */
@@ -110,6 +112,7 @@
 
   private async updateList (): Promise<void> {
     const now = this.deps.env.clock.now()
+    if (this.registration !== undefined && this.isOutdated(this.registration)) await this.registerAgain()
     const intervalMs = this.deps.isRelay() ? RELAY_READ_INTERVAL_MS : MEMBER_READ_INTERVAL_MS
     if (this.registration !== undefined && now - this.readAt < intervalMs) return
     // Once this gateway is registered a stale list is enough: gateways that register later find it.
@@ -119,6 +122,30 @@
     await this.readList('default')
   }
 
+  // The restored store may hold this registration, an earlier one under this name, or none.
+  private async registerAgain (): Promise<void> {
+    const stored = await this.readOwn()
+    if (stored.err) return
+    const isKept = stored.val !== undefined && this.isOwn(stored.val)
+    if (isKept) this.registration = stored.val
+    else if (!await this.put(stored.val)) return
+    this.deps.log.info({ era: this.deps.eras.current, kept: isKept }, 'gateway_registered_again')
+  }
+
+  private async readOwn (): Promise<errors.Result<external.StoredObject | undefined, external.StoreError>> {
+    return await this.deps.store.get(GATEWAYS_PREFIX + this.deps.self.name)
+  }
+
+  /** Whether a registration was written in an earlier era of the store, and may be lost. */
+  private isOutdated (registration: external.StoredObject): boolean {
+    return external.eraOf(registration.version) < (this.deps.eras.current ?? 0)
+  }
+
+  private isOwn (object: external.StoredObject): boolean {
+    const record = decodeRecord(object.value)
+    return record?.name === this.deps.self.name && record.incarnation === this.deps.self.incarnation
+  }
+
   private async readList (mode: external.ReadMode): Promise<readonly external.StoredObject[] | undefined> {
     const list = await this.deps.store.list(GATEWAYS_PREFIX, mode)
     if (list.err) return undefined
@@ -138,10 +165,13 @@
   }
 
   private async register (objects: readonly external.StoredObject[]): Promise<boolean> {
+    const key = GATEWAYS_PREFIX + this.deps.self.name
+    return await this.put(objects.find((object) => object.key === key))
+  }
+
+  private async put (previous: external.StoredObject | undefined): Promise<boolean> {
     const { self, store } = this.deps
-    const key = GATEWAYS_PREFIX + self.name
-    const previous = objects.find((object) => object.key === key)
-    const put = await store.put(key, JSON.stringify(self), previous?.version ?? 'absent')
+    const put = await store.put(GATEWAYS_PREFIX + self.name, JSON.stringify(self), previous?.version ?? 'absent')
     if (put.ok) this.registration = put.val
     return put.ok
   }
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -110,7 +110,7 @@
     this.quarantineRecords = new quarantine.QuarantineRecords({ env, store, quarantine: this.quarantine, log })
     const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine]
     this.exchange = new exchange.Exchange({ env, elapsed: this.elapsed, peers: this.peers, self, roster: this.roster, topics, ready: () => this.ready, log })
-    this.directory = new directory.Directory({ env, store, self, roster: this.roster, isRelay, ready: () => this.ready, log })
+    this.directory = new directory.Directory({ env, store, eras: deps.eras, self, roster: this.roster, isRelay, ready: () => this.ready, log })
     this.cacheFeed = this.createCacheFeed()
     const takeoverDelayMs = settings.bounds.takeoverDelayMs
     this.lease = new duties.Lease({ env, elapsed: this.elapsed, store, holder: settings.name, incarnation: settings.incarnation, takeoverDelayMs, contends: isRelay, log })
--- a/test/directory/directory.test.ts
+++ b/test/directory/directory.test.ts
@@ -1,4 +1,5 @@
 import * as chai from 'chai'
+import * as external from '../../src/external/index.js'
 import * as regions from '../support/gateway-region.js'
 
 describe('Directory', () => {
@@ -71,3 +72,105 @@
     for (const gateway of [a, b]) chai.expect(gateway.directory.addresses()).to.have.members(['a:1', 'b:1'])
   })
 })
+
+// A store that returns from an older copy has lost the registrations of the last seconds, and lists those that were removed in them.
+describe('Directory after the store has returned from an older copy', () => {
+  const KEY = 'godwitpoint-gateways/b'
+  const incarnationIn = (region: regions.Region): unknown => {
+    const stored = region.store.peek(KEY)
+    return stored === undefined ? undefined : (JSON.parse(stored.value) as { incarnation: unknown }).incarnation
+  }
+
+  it('registers again a gateway whose registration was lost', async () => {
+    const region = new regions.Region()
+    region.start('a')
+    await region.virtual.advance(3_000)
+    const copy = region.store.copy()
+    region.start('b')
+    await region.virtual.advance(3_000)
+    region.store.restore(copy)
+    await region.virtual.advance(3_000)
+    chai.expect(incarnationIn(region)).to.equal('b-1')
+  })
+
+  it('registers again over the registration of an earlier incarnation', async () => {
+    const region = new regions.Region()
+    region.start('a')
+    region.start('b')
+    await region.virtual.advance(3_000)
+    const copy = region.store.copy()
+    region.kill('b')
+    region.start('b', 'b-2')
+    await region.virtual.advance(3_000)
+    region.store.restore(copy)
+    await region.virtual.advance(3_000)
+    chai.expect(incarnationIn(region)).to.equal('b-2')
+  })
+
+  it('registers again within a second of a member that learns of the restore from its relay alone, and after a second restore', async () => {
+    const region = new regions.Region()
+    const gateways = region.startMany(30)
+    await region.virtual.advance(3_000)
+    const copy = region.store.copy()
+    const late = Array.from({ length: 6 }, (_, index) => region.start(`h${index}`))
+    await region.virtual.advance(6_000)
+    const member = late.find((gateway) => !gateway.exchange.isRelay)!
+    const key = `godwitpoint-gateways/${member.name}`
+    for (let restores = 0; restores < 2; restores++) {
+      region.store.restore(copy)
+      chai.expect(region.store.peek(key)).to.equal(undefined)
+      // Relays read the configuration every 1.8 s.
+      await region.virtual.advance(3_000)
+      chai.expect(region.store.peek(key), `restore ${restores}`).not.to.equal(undefined)
+    }
+    chai.expect(gateways.length).to.equal(30)
+  })
+
+  it('registers again once it reaches the store, when it was cut off during the restore', async () => {
+    const region = new regions.Region()
+    region.start('a')
+    await region.virtual.advance(3_000)
+    const copy = region.store.copy()
+    const b = region.start('b')
+    await region.virtual.advance(3_000)
+    b.storeReachable = false
+    region.store.restore(copy)
+    await region.virtual.advance(10_000)
+    chai.expect(incarnationIn(region)).to.equal(undefined)
+    b.storeReachable = true
+    await region.virtual.advance(2_000)
+    chai.expect(incarnationIn(region)).to.equal('b-1')
+  })
+
+  it('writes nothing when the copy has the registration', async () => {
+    const region = new regions.Region()
+    region.start('a')
+    await region.virtual.advance(3_000)
+    const copy = region.store.copy()
+    await region.virtual.advance(3_000)
+    const version = region.store.peek('godwitpoint-gateways/a')!.version
+    region.store.restore(copy)
+    await region.virtual.advance(6_000)
+    chai.expect(external.revisionOf(region.store.peek('godwitpoint-gateways/a')!.version)).to.equal(external.revisionOf(version))
+  })
+
+  it('counts a gateway that ended in the lost seconds as up for the grace of a listed one at most, and does not recommend it', async () => {
+    const region = new regions.Region()
+    const a = region.start('a')
+    region.start('c')
+    const b = region.start('b')
+    await region.virtual.advance(3_000)
+    const copy = region.store.copy()
+    await Promise.all([b.directory[Symbol.asyncDispose](), region.virtual.advance(20)])
+    region.kill('b')
+    await region.virtual.advance(5_000)
+    chai.expect(a.roster.all().map((record) => record.name)).to.deep.equal(['c'])
+    region.store.restore(copy)
+    for (let ms = 0; ms < 12_000; ms += 100) {
+      await region.virtual.advance(100)
+      chai.expect(a.directory.addresses(), `after ${ms} ms`).to.have.members(['a:1', 'c:1'])
+      // A list is read every 2 s; listed gateways count as up for 3 s.
+      if (ms >= 5_500) chai.expect(a.directory.gatewayNames(), `after ${ms} ms`).to.have.members(['a', 'c'])
+    }
+  })
+})
--- a/test/support/gateway-region.ts
+++ b/test/support/gateway-region.ts
@@ -70,7 +70,7 @@
     this.quarantine = new quarantine.SegmentQuarantine({ clock: virtual, selfName: name, gateways: () => this.directory.gatewayNames(), log: silent })
     const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.ledger, this.quarantine]
     this.exchange = new exchange.Exchange({ env, elapsed, peers, self, roster: this.roster, topics, ready: () => this.ready, log: silent })
-    this.directory = new directory.Directory({ env, store, self, roster: this.roster, isRelay, ready: () => this.ready, log: silent })
+    this.directory = new directory.Directory({ env, store, eras, self, roster: this.roster, isRelay, ready: () => this.ready, log: silent })
     for (const task of [this.feed, this.fleetFeed, this.directory, this.exchange, this.ledger]) task.start()
   }
 
