Deregister a gateway that stops right after a restore of the store

The others went on listing a gateway that had stopped right after a restore.

Cause: the version that it deleted was of the earlier era, so the deletion was a conflict, and nothing followed. After a conflict the gateway reads its object once and deletes it if it is of this process; a lost registration needs no deletion, and one of another incarnation stays.

Evidence: test/directory/directory.test.ts; before, two cases failed ("expected { key: 'godwitpoint-gateways/b' } to equal undefined"), now they pass; the case of another incarnation passed before and keeps the change from removing too much.

--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -87,12 +87,21 @@
   /** Stops reading and deregisters this gateway. */
   async [Symbol.asyncDispose] (): Promise<void> {
     this.task?.[Symbol.dispose]()
-    const registration = this.registration
-    if (registration === undefined) return
-    const result = await this.deps.store.delete(registration.key, registration.version)
+    if (this.registration === undefined) return
+    let result = await this.deregister(this.registration)
+    if (result.err && result.val.kind === 'conflict') {
+      // The store may have been restored: the registration has another version then, or was lost.
+      const current = await this.readOwn()
+      if (current.ok && (current.val === undefined || !this.isOwn(current.val))) return
+      result = current.ok ? await this.deregister(current.val!) : current
+    }
     if (result.err) this.deps.log.warn({ reason: result.val.message }, 'deregister_failed')
   }
 
+  private async deregister (registration: external.StoredObject): Promise<errors.Result<void, external.StoreError>> {
+    return await this.deps.store.delete(registration.key, registration.version)
+  }
+
   // Of more gateways than may be recommended, each response gets a random sample, so that callers spread over all.
   private sampleAddresses (addresses: string[]): string[] {
     if (addresses.length <= MAX_ADVISED) return addresses
--- a/test/directory/directory.test.ts
+++ b/test/directory/directory.test.ts
@@ -144,7 +144,7 @@
 
   it('writes nothing when the copy has the registration', async () => {
     const region = new regions.Region()
-    region.start('a')
+    const a = region.start('a')
     await region.virtual.advance(3_000)
     const copy = region.store.copy()
     await region.virtual.advance(3_000)
@@ -152,6 +152,30 @@
     region.store.restore(copy)
     await region.virtual.advance(6_000)
     chai.expect(external.revisionOf(region.store.peek('godwitpoint-gateways/a')!.version)).to.equal(external.revisionOf(version))
+    await Promise.all([a.directory[Symbol.asyncDispose](), region.virtual.advance(10)])
+    chai.expect(region.store.peek('godwitpoint-gateways/a')).to.equal(undefined)
+  })
+
+  it('removes its own registration when it stops right after a restore', async () => {
+    const region = new regions.Region()
+    region.start('a')
+    const b = region.start('b')
+    await region.virtual.advance(3_000)
+    region.store.restore(region.store.copy())
+    await Promise.all([b.directory[Symbol.asyncDispose](), region.virtual.advance(20)])
+    chai.expect(region.store.peek(KEY)).to.equal(undefined)
+    chai.expect(region.store.peek('godwitpoint-gateways/a')).not.to.equal(undefined)
+  })
+
+  it('leaves the registration of another incarnation when it stops right after a restore', async () => {
+    const region = new regions.Region()
+    const b = region.start('b')
+    await region.virtual.advance(3_000)
+    const other = JSON.stringify({ name: 'b', incarnation: 'b-0', front: 'b:1', peer: 'b:2', domain: 'd' })
+    await region.write(KEY, other)
+    region.store.restore(region.store.copy())
+    await Promise.all([b.directory[Symbol.asyncDispose](), region.virtual.advance(20)])
+    chai.expect(region.store.peek(KEY)?.value).to.equal(other)
   })
 
   it('counts a gateway that ended in the lost seconds as up for the grace of a listed one at most, and does not recommend it', async () => {
