Join gateways again whose links to each other were cut

After a cut of a second or more between two gateways of a small group neither knew the other one any more until one of them was started again: callers were recommended fewer gateways, and each took a larger share of the retry budget.

Cause: a gateway calls only those that count as up, and after a cut on both sides neither does; a list that shows the same incarnation changes nothing. Ruled out: the list of the store (it was read all the while). Found while testing a restore of the store during a cut.

Where all gateways are relays (8 or fewer), one that is known but not up is probed every 2 s; a reply makes it count like one that was just listed.

Evidence: test/exchange/exchange.test.ts, 3 and 8 gateways; before, 2 of 3 were known 4 s after the cut had ended ("expected -2 +3"), now all.

--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -117,6 +117,19 @@
     for (const name of fellows) {
       if (this.deps.self.name < name || !this.hears(name)) this.callAs('fellow', name)
     }
+    if (this.probing === undefined) this.probeUnreachable()
+  }
+
+  // Two gateways whose links were cut each take the other one for gone, so neither would call again. Where members exist, one
+  // that was cut off would act as a relay of the first that it finds, and what others tell of them would depend on its link.
+  private probeUnreachable (): void {
+    if (this.deps.roster.all().length >= relayPlan.ALL_RELAYS_LIMIT) return
+    const record = this.deps.roster.nextToProbe()
+    if (record === undefined) return
+    this.probing = record.name
+    this.deps.peers.call<unknown>(record.peer, PROBE_METHOD, {}, REPLY_TIMEOUT_MS).then((reply) => {
+      if (reply.ok) this.deps.roster.noteReachable(record)
+    }, (err: unknown) => this.deps.log.error({ err, gateway: record.name }, 'exchange_failed')).finally(() => { this.probing = undefined })
   }
 
   private planLinks (): relayPlan.RelayPlan {
--- a/src/exchange/relay-plan.ts
+++ b/src/exchange/relay-plan.ts
@@ -6,7 +6,7 @@
 import * as hash from '../hash/index.js'
 
 /** Number of gateways up to which all are relays. */
-const ALL_RELAYS_LIMIT = 8
+export const ALL_RELAYS_LIMIT = 8
 
 /** Members that a relay serves at most, itself included. */
 const MEMBERS_PER_RELAY = 16
--- a/src/exchange/roster.ts
+++ b/src/exchange/roster.ts
@@ -14,6 +14,9 @@
 const FIRST_SUSPICION_MS = 500
 const MAX_SUSPICION_MS = 4_000
 
+/** Time between two probes of a gateway that is not up, in ms. */
+const PROBE_INTERVAL_MS = 2_000
+
 /** State of a gateway as told; `beat` orders what is told of one incarnation. */
 const Told = z.object({ record: types.GatewayRecord, beat: z.int(), up: z.boolean(), ready: z.boolean() })
 type Told = z.infer<typeof Told>
@@ -36,6 +39,8 @@
   upAt: number
   suspectedUntil: number
   suspicions: number
+  /** When it is probed if it is not up. */
+  probeAt: number
   /** Earlier incarnations, newest last. */
   past: string[]
 }
@@ -108,6 +113,21 @@
     return [...this.entries.values()].filter((entry) => this.isUp(entry) && now >= entry.suspectedUntil).map((entry) => entry.told.record)
   }
 
+  /** A known gateway that is not up and is due to be probed: its process may run, and only its links have been cut. */
+  nextToProbe (): types.GatewayRecord | undefined {
+    const now = this.now()
+    const due = [...this.entries.values()].find((entry) => !this.isUp(entry) && now >= entry.probeAt)
+    if (due !== undefined) due.probeAt = now + PROBE_INTERVAL_MS
+    return due?.told.record
+  }
+
+  /** Notes that a gateway that was not up replied to a probe: it may be called, like one that was just listed. */
+  noteReachable ({ name, incarnation }: types.GatewayRecord): void {
+    const entry = this.entries.get(name)
+    if (entry === undefined || this.isUp(entry) || entry.told.record.incarnation !== incarnation) return
+    this.replace({ record: entry.told.record, beat: -1, up: true, ready: false }, OWN, false).expiresAt = this.now() + LISTED_GRACE_MS
+  }
+
   /** The record of a gateway; undefined when it is not known. */
   record (name: string): types.GatewayRecord | undefined {
     return this.entries.get(name)?.told.record
@@ -177,7 +197,7 @@
   private replace (told: Told, source: string, fromAbove: boolean): Entry {
     const known = this.entries.get(told.record.name)
     const past = known === undefined ? [] : [...known.past, known.told.record.incarnation].slice(-REMEMBERED_INCARNATIONS)
-    const entry: Entry = { told, source, fromAbove, position: ++this.position, expiresAt: undefined, upAt: this.now(), suspectedUntil: -Infinity, suspicions: 0, past }
+    const entry: Entry = { told, source, fromAbove, position: ++this.position, expiresAt: undefined, upAt: this.now(), suspectedUntil: -Infinity, suspicions: 0, probeAt: this.now() + PROBE_INTERVAL_MS, past }
     this.entries.set(told.record.name, entry)
     if (told.beat >= 0) this.deps.log.info({ gateway: told.record.name, up: true, ready: told.ready }, 'gateway_state')
     return entry
--- a/test/exchange/exchange.test.ts
+++ b/test/exchange/exchange.test.ts
@@ -111,6 +111,20 @@
     }
   })
 
+  for (const count of [3, 8]) {
+    it(`joins a gateway again that was cut off from all ${count - 1} others for a while`, async () => {
+      const { region, gateways } = await regionOf(count)
+      const others = gateways.slice(0, -1)
+      const cutOff = gateways[count - 1]!
+      for (const other of others) for (const cut of [`${cutOff.name}>${other.name}`, `${other.name}>${cutOff.name}`]) region.cuts.add(cut)
+      await region.virtual.advance(8_000)
+      for (const other of others) chai.expect(other.directory.addresses(), other.name).not.to.include(`${cutOff.name}:1`)
+      region.cuts.clear()
+      await region.virtual.advance(4_000)
+      for (const gateway of gateways) chai.expect(gateway.directory.addresses().length, gateway.name).to.equal(count)
+    })
+  }
+
   it('gives all callers other gateways when all have lost power and return', async () => {
     const { region, gateways } = await regionOf(30)
     for (const gateway of gateways) region.kill(gateway.name)
