Accept a gateway again of which the restored store listed an earlier incarnation

A gateway that was cut off while the store was restored was no longer recommended by a gateway that had read the list of the copy meanwhile, for good.

Cause: the listed record of the earlier incarnation replaced the present one, which then counted as an earlier one, and what is told of an earlier one is ignored. Ruled out: the registration, which was written again.

A listed incarnation of which nothing was told yields to any that is told of, and is not remembered as an earlier one.

Evidence: test/directory/directory.test.ts; before, "expected [ 'a:1', 'c:1' ] to have the same members as [ 'a:1', 'b:1', 'c:1' ]", now it passes.

--- a/src/exchange/roster.ts
+++ b/src/exchange/roster.ts
@@ -41,7 +41,7 @@
   suspicions: number
   /** When it is probed if it is not up. */
   probeAt: number
-  /** Earlier incarnations, newest last. */
+  /** Earlier incarnations that were told of, newest last. */
   past: string[]
 }
 
@@ -178,8 +178,9 @@
     const { name, incarnation } = told.record
     const known = this.entries.get(name)
     if (known === undefined || known.told.record.incarnation !== incarnation) {
-      // What is told of an earlier incarnation, or of the end of one that was never known, changes nothing.
-      if (!told.up || known?.past.includes(incarnation) === true) return
+      // What is told of an earlier incarnation, or of the end of one that was never known, changes nothing. A list may show an
+      // incarnation that is older than the one told of: it counts only until something is told of the gateway.
+      if (!told.up || (known !== undefined && known.told.beat >= 0 && known.past.includes(incarnation))) return
       this.replace(told, source, fromAbove)
       return
     }
@@ -196,7 +197,8 @@
 
   private replace (told: Told, source: string, fromAbove: boolean): Entry {
     const known = this.entries.get(told.record.name)
-    const past = known === undefined ? [] : [...known.past, known.told.record.incarnation].slice(-REMEMBERED_INCARNATIONS)
+    const replaced = known === undefined || known.told.beat < 0 ? [] : [known.told.record.incarnation]
+    const past = [...known?.past ?? [], ...replaced].filter((incarnation) => incarnation !== told.record.incarnation).slice(-REMEMBERED_INCARNATIONS)
     const entry: Entry = { told, source, fromAbove, position: ++this.position, expiresAt: undefined, upAt: this.now(), suspectedUntil: -Infinity, suspicions: 0, probeAt: this.now() + PROBE_INTERVAL_MS, past }
     this.entries.set(told.record.name, entry)
     if (told.beat >= 0) this.deps.log.info({ gateway: told.record.name, up: true, ready: told.ready }, 'gateway_state')
--- a/test/directory/directory.test.ts
+++ b/test/directory/directory.test.ts
@@ -197,4 +197,25 @@
       if (ms >= 5_500) chai.expect(a.directory.gatewayNames(), `after ${ms} ms`).to.have.members(['a', 'c'])
     }
   })
+
+  it('recommends a gateway again that was cut off while the copy listed an earlier incarnation of it', async () => {
+    const region = new regions.Region()
+    region.start('a')
+    region.start('b')
+    await region.virtual.advance(3_000)
+    const copy = region.store.copy()
+    region.kill('b')
+    const b = region.start('b', 'b-2')
+    await region.virtual.advance(3_000)
+    const c = region.start('c')
+    await region.virtual.advance(3_000)
+    for (const name of ['a', 'c']) for (const cut of [`${name}>b`, `b>${name}`]) region.cuts.add(cut)
+    b.storeReachable = false
+    region.store.restore(copy)
+    await region.virtual.advance(6_000)
+    region.cuts.clear()
+    b.storeReachable = true
+    await region.virtual.advance(6_000)
+    chai.expect(c.directory.addresses()).to.have.members(['a:1', 'b:1', 'c:1'])
+  })
 })
