Write and remove quarantined segments again after a restore of the store

After all gateways had ended at once, calls with a crashing segment could be sent again, or those with a cleared one be refused, when the segment was stored or cleared in the seconds that a restore of the store had lost.

Cause: what was written once counted as stored for good. After a restore all segments that are or were quarantined count as unsaved; the gateway that is responsible for them compares them with the store in one list, and writes only what differs. What was read before a restore is not used after it (two restores in a row).

--- a/src/quarantine/quarantine-records.ts
+++ b/src/quarantine/quarantine-records.ts
@@ -27,12 +27,15 @@
   /** Segments that this gateway has to write, and that were quarantined or cleared since they were last {@link noteSaved}. */
   unsaved (): types.ToldSuspect[]
   noteSaved (told: types.ToldSuspect): void
+  /** Counts all segments that are or were quarantined as unsaved: the store has lost what was written lately. */
+  noteRestored (): void
 }
 
 /** Dependencies of the stored segments. */
 export interface QuarantineRecordsDeps {
   readonly env: time.Env
   readonly store: external.ObjectStore
+  readonly eras: external.StoreEras
   readonly quarantine: StoredQuarantine
   readonly log: log.Logger
 }
@@ -42,7 +45,9 @@
   private task: time.RepeatingTask | undefined
   private loaded = false
 
-  constructor (private readonly deps: QuarantineRecordsDeps) {}
+  constructor (private readonly deps: QuarantineRecordsDeps) {
+    deps.eras.onRestored((era) => this.writeAgain(era))
+  }
 
   /** Starts to read, until a read succeeds, and to write. */
   start (): void {
@@ -57,7 +62,33 @@
 
   private async sync (): Promise<void> {
     if (!this.loaded) await this.load()
-    for (const told of this.deps.quarantine.unsaved()) await this.save(told)
+    const unsaved = this.deps.quarantine.unsaved()
+    const stored = await this.readStored(unsaved)
+    const era = this.deps.eras.current
+    for (const told of stored === undefined ? [] : unsaved) {
+      // What was read before a restore does not tell what has to be written after it.
+      if (this.deps.eras.current !== era) return
+      await this.save(told, stored?.get(keyOf(told)))
+    }
+  }
+
+  private writeAgain (era: number): void {
+    this.deps.quarantine.noteRestored()
+    const segments = this.deps.quarantine.unsaved().length
+    if (segments > 0) this.deps.log.info({ era, segments }, 'quarantine_checked_again')
+  }
+
+  // One list costs less than a read for each segment.
+  private async readStored (unsaved: readonly types.ToldSuspect[]): Promise<ReadonlyMap<string, external.StoredObject> | undefined> {
+    const [first, ...others] = unsaved
+    if (first === undefined) return undefined
+    if (others.length > 0) {
+      const list = await this.deps.store.list(QUARANTINE_PREFIX)
+      return list.ok ? new Map(list.val.map((object) => [object.key, object])) : undefined
+    }
+    const stored = await this.deps.store.get(keyOf(first))
+    if (stored.err) return undefined
+    return new Map(stored.val === undefined ? [] : [[stored.val.key, stored.val]])
   }
 
   // A list that is seconds old is enough: gateways that run know what is newer, and tell it.
@@ -80,11 +111,8 @@
     if (deleted.err) this.deps.log.warn({ key: object.key, reason: deleted.val.message }, 'quarantine_record_failed')
   }
 
-  private async save (told: types.ToldSuspect): Promise<void> {
-    const key = QUARANTINE_PREFIX + encodeURIComponent(told.id)
-    const stored = await this.deps.store.get(key)
-    if (stored.err) return
-    const outcome = told.crashes.length === 0 ? await this.remove(stored.val) : await this.write(key, told, stored.val)
+  private async save (told: types.ToldSuspect, stored: external.StoredObject | undefined): Promise<void> {
+    const outcome = told.crashes.length === 0 ? await this.remove(stored) : await this.write(told, stored)
     if (outcome === undefined) this.deps.quarantine.noteSaved(told)
     else this.deps.log.warn({ segment: told.id, reason: outcome.message }, 'quarantine_record_failed')
   }
@@ -95,13 +123,22 @@
     return deleted.err ? deleted.val : undefined
   }
 
-  private async write (key: string, suspect: types.ToldSuspect, stored: external.StoredObject | undefined): Promise<external.StoreError | undefined> {
+  private async write (suspect: types.ToldSuspect, stored: external.StoredObject | undefined): Promise<external.StoreError | undefined> {
+    if (stored !== undefined && isSame(decodeRecord(stored.value)?.suspect, suspect)) return undefined
     const record: z.infer<typeof QuarantineRecord> = { suspect, writtenAt: this.deps.env.clock.wallTimeMs() }
-    const put = await this.deps.store.put(key, JSON.stringify(record), stored?.version ?? 'absent')
+    const put = await this.deps.store.put(keyOf(suspect), JSON.stringify(record), stored?.version ?? 'absent')
     return put.err ? put.val : undefined
   }
 }
 
+function keyOf (told: types.ToldSuspect): string {
+  return QUARANTINE_PREFIX + encodeURIComponent(told.id)
+}
+
+function isSame (stored: types.ToldSuspect | undefined, told: types.ToldSuspect): boolean {
+  return stored?.clearances === told.clearances && stored.crashes.length === told.crashes.length && told.crashes.every((crash) => stored.crashes.includes(crash))
+}
+
 /** Other writers may put anything there: undefined for an object that is no stored segment. */
 function decodeRecord (text: string): z.infer<typeof QuarantineRecord> | undefined {
   try {
--- a/src/quarantine/segment-quarantine.ts
+++ b/src/quarantine/segment-quarantine.ts
@@ -144,6 +144,12 @@
     return [...this.unsavedIds].filter((id) => this.isResponsibleFor(id)).flatMap((id) => this.suspects.get(id)?.told ?? [])
   }
 
+  noteRestored (): void {
+    for (const { told } of this.suspects.values()) {
+      if (told.crashes.length === 0 || told.crashes.length >= QUARANTINE_CRASHES) this.unsavedIds.add(told.id)
+    }
+  }
+
   noteSaved (told: types.ToldSuspect): void {
     if (this.suspects.get(told.id)?.told === told) this.unsavedIds.delete(told.id)
   }
