Log a malformed gateway record once, in a bounded line

A record that another writer left in the list of gateways was logged at every read, every 2 s at each relay, with its whole name; a record with long fields was taken for a gateway and its name logged in full.

Records above 1,024 characters count as malformed, a key is logged up to 100 characters, and each version of a record once (100 are remembered).

--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -28,6 +28,15 @@
 /** Maximum number of gateways recommended in one response to a caller. */
 const MAX_ADVISED = 64
 
+/** Longest stored record that is read, in characters; its names are logged. */
+const MAX_RECORD_CHARS = 1_024
+
+/** Part of the key of a malformed record that is logged, in characters. */
+const MAX_LOGGED_KEY_CHARS = 100
+
+/** Malformed records whose version is remembered, so that each is logged once. */
+const MAX_REMEMBERED_MALFORMED = 100
+
 /** Dependencies of the directory. */
 export interface DirectoryDeps {
   readonly env: time.Env
@@ -48,6 +57,8 @@
   private registration: external.StoredObject | undefined
   private startedAt = -Infinity
   private readAt = -Infinity
+  /** Versions of malformed records that were logged. */
+  private readonly malformed = new Set<number>()
 
   constructor (private readonly deps: DirectoryDeps) {}
 
@@ -168,11 +179,18 @@
   private decode (object: external.StoredObject): exchange.GatewayRecord | undefined {
     const record = decodeRecord(object.value)
     const { self } = this.deps
-    if (record === undefined) this.deps.log.warn({ key: object.key }, 'gateway_record_malformed')
+    if (record === undefined) this.noteMalformed(object)
     else if (record.name === self.name && record.incarnation === self.incarnation) this.registration ??= object
     return record
   }
 
+  private noteMalformed ({ key, version }: external.StoredObject): void {
+    if (this.malformed.has(version)) return
+    if (this.malformed.size >= MAX_REMEMBERED_MALFORMED) this.malformed.delete(this.malformed.values().next().value!)
+    this.malformed.add(version)
+    this.deps.log.warn({ key: key.slice(0, MAX_LOGGED_KEY_CHARS) }, 'gateway_record_malformed')
+  }
+
   private async register (objects: readonly external.StoredObject[]): Promise<boolean> {
     const key = GATEWAYS_PREFIX + this.deps.self.name
     return await this.put(objects.find((object) => object.key === key))
@@ -188,6 +206,7 @@
 
 /** Other writers may put anything there: undefined for an object that is no record of a gateway. */
 function decodeRecord (text: string): exchange.GatewayRecord | undefined {
+  if (text.length > MAX_RECORD_CHARS) return undefined
   try {
     return exchange.GatewayRecord.parse(JSON.parse(text))
   } catch {
--- a/test/directory/directory.test.ts
+++ b/test/directory/directory.test.ts
@@ -71,6 +71,23 @@
     await region.virtual.advance(3_000)
     for (const gateway of [a, b]) chai.expect(gateway.directory.addresses()).to.have.members(['a:1', 'b:1'])
   })
+
+  it('logs a malformed record once for each change of it, in a line of bounded length', async () => {
+    const lines: string[] = []
+    const note = (fields: object, event: string): void => { lines.push(`${event} ${JSON.stringify(fields)}`) }
+    const region = new regions.Region()
+    region.log = { debug: note, info: note, warn: note, error: note }
+    await region.write(`godwitpoint-gateways/${'x'.repeat(10_000)}`, 'no json')
+    await region.write('godwitpoint-gateways/y', JSON.stringify({ name: 'y'.repeat(10_000), incarnation: '', front: '', peer: '', domain: '' }))
+    region.start('a')
+    await region.virtual.advance(10_000)
+    const malformed = lines.filter((line) => line.startsWith('gateway_record_malformed'))
+    chai.expect(malformed).to.have.length(2)
+    for (const line of lines) chai.expect(line.length).to.be.lessThan(300)
+    await region.write('godwitpoint-gateways/y', 'other')
+    await region.virtual.advance(4_000)
+    chai.expect(lines.filter((line) => line.startsWith('gateway_record_malformed'))).to.have.length(3)
+  })
 })
 
 // A store that returns from an older copy has lost the registrations of the last seconds, and lists those that were removed in them.
--- a/test/support/gateway-region.ts
+++ b/test/support/gateway-region.ts
@@ -60,9 +60,10 @@
     const peers: peer.Peers = { handle: (method, handler) => { this.handlers.set(method, handler) }, call: async (address, method, params) => await region.call(this, address, method, params) }
     const self = { name, incarnation, front: `${name}:1`, peer: `${name}:2`, domain }
     const silent = log.SILENT_LOGGER
+    const { log: logger } = region
     const isRelay = (): boolean => this.exchange.isRelay
     this.fleet = new fleet.Fleet({ clock: virtual, log: silent, onRemoved: () => {} })
-    this.roster = new exchange.Roster({ clock: virtual, log: silent, self })
+    this.roster = new exchange.Roster({ clock: virtual, log: logger, self })
     this.feed = new serving.ConfigFeed({ env, elapsed, store, eras, key: CONFIG_KEY, propagationMs: CONFIG_BOUND_MS, isReader: isRelay, decode: (text) => build.aConfig({ version: Number(text) }), log: silent, metrics: new metrics.Metrics() })
     this.fleetFeed = new fleet.FleetFeed({ env, elapsed, store, prefix: TARGETS_PREFIX, leavePropagationMs: LEAVE_BOUND_MS, shortestExpiryMs: TARGET_EXPIRY_MS, isReader: isRelay, decode: (object) => JSON.parse(object.value) as serving.TargetRecord, fleet: this.fleet, log: silent })
     this.ledger = new duties.UsageLedger({ env, store, name: `${name}.${incarnation}`, windowMs: WINDOW_MS, isRelay, log: silent })
@@ -70,7 +71,7 @@
     this.quarantine = new quarantine.SegmentQuarantine({ clock: virtual, selfName: name, gateways: () => this.directory.gatewayNames(), log: silent })
     const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.ledger, this.quarantine]
     this.exchange = new exchange.Exchange({ env, elapsed, peers, self, roster: this.roster, topics, ready: () => this.ready, log: silent })
-    this.directory = new directory.Directory({ env, store, eras, self, roster: this.roster, isRelay, ready: () => this.ready, log: silent })
+    this.directory = new directory.Directory({ env, store, eras, self, roster: this.roster, isRelay, ready: () => this.ready, log: logger })
     for (const task of [this.feed, this.fleetFeed, this.directory, this.exchange, this.ledger]) task.start()
   }
 
@@ -113,6 +114,8 @@
   /** Pairs of names, in order, between which messages get lost. */
   readonly cuts = new Set<string>()
   seed = 1
+  /** Log of the directories and rosters of gateways that are started later. */
+  log: log.Logger = log.SILENT_LOGGER
 
   /** Starts a gateway; one that runs under the name already is replaced. */
   start (name: string, incarnation = `${name}-1`, domain = `d${this.gateways.size % 5}`): RegionGateway {
