--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -1,6 +1,7 @@
 /** Registers this gateway, finds the others in the store, and chooses those that are recommended to callers. */
+import type * as errors from '../errors/index.js'
 import * as exchange from '../exchange/index.js'
-import type * as external from '../external/index.js'
+import * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import * as time from '../time/index.js'
 
@@ -27,10 +28,20 @@
 /** Maximum number of gateways recommended in one response to a caller. */
 const MAX_ADVISED = 64
 
+/** Longest stored record that is read, in characters; its names are logged. */
+const MAX_RECORD_CHARS = 1_024
+
+/** Part of the key of a malformed record that is logged, in characters. */
+const MAX_LOGGED_KEY_CHARS = 100
+
+/** Malformed records whose version is remembered, so that each is logged once. */
+const MAX_REMEMBERED_MALFORMED = 100
+
 /** Dependencies of the directory. */
 export interface DirectoryDeps {
   readonly env: time.Env
   readonly store: external.ObjectStore
+  readonly eras: external.StoreEras
   readonly self: exchange.GatewayRecord
   readonly roster: exchange.Roster
   /** Whether this gateway is a relay. */
@@ -46,6 +57,8 @@
   private registration: external.StoredObject | undefined
   private startedAt = -Infinity
   private readAt = -Infinity
+  /** Versions of malformed records that were logged. */
+  private readonly malformed = new Set<number>()
 
   constructor (private readonly deps: DirectoryDeps) {}
 
@@ -85,12 +98,21 @@
   /** Stops reading and deregisters this gateway. */
   async [Symbol.asyncDispose] (): Promise<void> {
     this.task?.[Symbol.dispose]()
-    const registration = this.registration
-    if (registration === undefined) return
-    const result = await this.deps.store.delete(registration.key, registration.version)
+    if (this.registration === undefined) return
+    let result = await this.deregister(this.registration)
+    if (result.err && result.val.kind === 'conflict') {
+      // The store may have been restored: the registration has another version then, or was lost.
+      const current = await this.readOwn()
+      if (current.ok && (current.val === undefined || !this.isOwn(current.val))) return
+      result = current.ok ? await this.deregister(current.val!) : current
+    }
     if (result.err) this.deps.log.warn({ reason: result.val.message }, 'deregister_failed')
   }
 
+  private async deregister (registration: external.StoredObject): Promise<errors.Result<void, external.StoreError>> {
+    return await this.deps.store.delete(registration.key, registration.version)
+  }
+
   // Of more gateways than may be recommended, each response gets a random sample, so that callers spread over all.
   private sampleAddresses (addresses: string[]): string[] {
     if (addresses.length <= MAX_ADVISED) return addresses
@@ -110,6 +132,7 @@
 
   private async updateList (): Promise<void> {
     const now = this.deps.env.clock.now()
+    if (this.registration !== undefined && this.isOutdated(this.registration)) await this.registerAgain()
     const intervalMs = this.deps.isRelay() ? RELAY_READ_INTERVAL_MS : MEMBER_READ_INTERVAL_MS
     if (this.registration !== undefined && now - this.readAt < intervalMs) return
     // Once this gateway is registered a stale list is enough: gateways that register later find it.
@@ -119,6 +142,30 @@
     await this.readList('default')
   }
 
+  // The restored store may hold this registration, an earlier one under this name, or none.
+  private async registerAgain (): Promise<void> {
+    const stored = await this.readOwn()
+    if (stored.err) return
+    const isKept = stored.val !== undefined && this.isOwn(stored.val)
+    if (isKept) this.registration = stored.val
+    else if (!await this.put(stored.val)) return
+    this.deps.log.info({ era: this.deps.eras.current, kept: isKept }, 'gateway_registered_again')
+  }
+
+  private async readOwn (): Promise<errors.Result<external.StoredObject | undefined, external.StoreError>> {
+    return await this.deps.store.get(GATEWAYS_PREFIX + this.deps.self.name)
+  }
+
+  /** Whether a registration was written in an earlier era of the store, and may be lost. */
+  private isOutdated (registration: external.StoredObject): boolean {
+    return external.eraOf(registration.version) < (this.deps.eras.current ?? 0)
+  }
+
+  private isOwn (object: external.StoredObject): boolean {
+    const record = decodeRecord(object.value)
+    return record?.name === this.deps.self.name && record.incarnation === this.deps.self.incarnation
+  }
+
   private async readList (mode: external.ReadMode): Promise<readonly external.StoredObject[] | undefined> {
     const list = await this.deps.store.list(GATEWAYS_PREFIX, mode)
     if (list.err) return undefined
@@ -132,16 +179,26 @@
   private decode (object: external.StoredObject): exchange.GatewayRecord | undefined {
     const record = decodeRecord(object.value)
     const { self } = this.deps
-    if (record === undefined) this.deps.log.warn({ key: object.key }, 'gateway_record_malformed')
+    if (record === undefined) this.noteMalformed(object)
     else if (record.name === self.name && record.incarnation === self.incarnation) this.registration ??= object
     return record
   }
 
+  private noteMalformed ({ key, version }: external.StoredObject): void {
+    if (this.malformed.has(version)) return
+    if (this.malformed.size >= MAX_REMEMBERED_MALFORMED) this.malformed.delete(this.malformed.values().next().value!)
+    this.malformed.add(version)
+    this.deps.log.warn({ key: key.slice(0, MAX_LOGGED_KEY_CHARS) }, 'gateway_record_malformed')
+  }
+
   private async register (objects: readonly external.StoredObject[]): Promise<boolean> {
+    const key = GATEWAYS_PREFIX + this.deps.self.name
+    return await this.put(objects.find((object) => object.key === key))
+  }
+
+  private async put (previous: external.StoredObject | undefined): Promise<boolean> {
     const { self, store } = this.deps
-    const key = GATEWAYS_PREFIX + self.name
-    const previous = objects.find((object) => object.key === key)
-    const put = await store.put(key, JSON.stringify(self), previous?.version ?? 'absent')
+    const put = await store.put(GATEWAYS_PREFIX + self.name, JSON.stringify(self), previous?.version ?? 'absent')
     if (put.ok) this.registration = put.val
     return put.ok
   }
@@ -149,6 +206,7 @@
 
 /** Other writers may put anything there: undefined for an object that is no record of a gateway. */
 function decodeRecord (text: string): exchange.GatewayRecord | undefined {
+  if (text.length > MAX_RECORD_CHARS) return undefined
   try {
     return exchange.GatewayRecord.parse(JSON.parse(text))
   } catch {
