Write usage counts again after the store was restored

The platform saw reports that lacked what processes had counted in the seconds before a restore: the store held the counts of the older copy until something new was counted, and the first write after it only found a version conflict.

Cause: the position of the last write was taken for stored for ever, and a conflict was resolved at the next interval. Ruled out: counts of members; they stay in the memory of their relay, which did not write them again for the same reason.

After a restore nothing counts as written, so the next interval writes all retained counts, a relay those of its members too; a conflict reads the version and writes once more at once. A reply of an earlier era counts as not written. Members whose relay confirms their counts write nothing, and nothing is written without a restore.

--- a/src/duties/usage-ledger.ts
+++ b/src/duties/usage-ledger.ts
@@ -2,8 +2,9 @@
  * Counts the requests that began to execute, and makes the counts durable: a member tells them to its relay, and a relay
  * stores its own and those of its members. A member stores its counts itself while no relay confirms them.
  */
+import type * as errors from '../errors/index.js'
 import type * as exchange from '../exchange/index.js'
-import type * as external from '../external/index.js'
+import * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import type * as time from '../time/index.js'
 import * as usageCounts from './usage-counts.js'
@@ -14,10 +15,14 @@
 /** Time between two writes, in ms: counts that no other gateway knows are lost with a process for at most this time. */
 const WRITE_INTERVAL_MS = 1_250
 
+/** Written position while the store may hold none of the counts. */
+const NOTHING_WRITTEN = -1
+
 /** Dependencies of the usage ledger. */
 export interface UsageLedgerDeps {
   readonly env: time.Env
   readonly store: external.ObjectStore
+  readonly eras: external.StoreEras
   /** Node and incarnation; the object's key ends with it. */
   readonly name: string
   readonly windowMs: number
@@ -39,7 +44,9 @@
   private confirmedPosition = 0
   private checkedPosition = 0
 
-  constructor (private readonly deps: UsageLedgerDeps) {}
+  constructor (private readonly deps: UsageLedgerDeps) {
+    deps.eras.onRestored((era) => this.writeAgain(era))
+  }
 
   /** Starts the periodic writes. */
   start (): void {
@@ -112,24 +119,37 @@
     await this.writing
   }
 
+  // A restored store holds older counts, or none.
+  private writeAgain (era: number): void {
+    if (this.held.position === 0) return
+    this.writtenPosition = NOTHING_WRITTEN
+    this.deps.log.info({ era }, 'usage_counts_rewritten')
+  }
+
   private async writeCounts (): Promise<void> {
-    const { position } = this.held
     this.held.dropOld(this.currentWindow())
-    const key = COUNTS_PREFIX + this.deps.name
-    const put = await this.deps.store.put(key, JSON.stringify(this.allCounts), this.version)
+    const first = await this.putCounts()
+    if (first.ok || first.val.kind === 'unavailable') return
+    if (await this.readVersion() && first.val.kind === 'conflict') await this.putCounts()
+  }
+
+  private async putCounts (): Promise<errors.Result<external.StoredObject, external.StoreError>> {
+    const { position } = this.held
+    const put = await this.deps.store.put(COUNTS_PREFIX + this.deps.name, JSON.stringify(this.allCounts), this.version)
     if (put.ok) this.noteWritten(put.val, position)
-    else await this.recover(key, put.val)
+    return put
   }
 
+  // What an earlier era acknowledged is lost.
   private noteWritten (object: external.StoredObject, position: number): void {
     this.version = object.version
-    this.writtenPosition = position
+    if (external.eraOf(object.version) >= (this.deps.eras.current ?? 0)) this.writtenPosition = position
   }
 
-  // Only this process writes the object, so a conflict means that an earlier write took effect.
-  private async recover (key: string, err: external.StoreError): Promise<void> {
-    if (err.kind === 'unavailable') return
-    const stored = await this.deps.store.get(key)
+  // Only this process writes the object, so a conflict means that an earlier write took effect or that the store was restored.
+  private async readVersion (): Promise<boolean> {
+    const stored = await this.deps.store.get(COUNTS_PREFIX + this.deps.name)
     if (stored.ok) this.version = stored.val?.version ?? 'absent'
+    return stored.ok
   }
 }
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -105,7 +105,7 @@
     const self = this.gatewayRecord()
     this.roster = new exchange.Roster({ clock: env.clock, log, self })
     const windowMs = settings.bounds.usageWindowMs
-    this.usageLedger = new duties.UsageLedger({ env, store, name: `${settings.name}.${settings.incarnation}`, windowMs, isRelay, log })
+    this.usageLedger = new duties.UsageLedger({ env, store, eras: deps.eras, name: `${settings.name}.${settings.incarnation}`, windowMs, isRelay, log })
     this.quarantine = new quarantine.SegmentQuarantine({ clock: env.clock, selfName: settings.name, gateways: () => this.directory.gatewayNames(), log })
     this.quarantineRecords = new quarantine.QuarantineRecords({ env, store, quarantine: this.quarantine, log })
     const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine]
--- a/test/duties/duties.test.ts
+++ b/test/duties/duties.test.ts
@@ -105,7 +105,7 @@
 function startGateway (virtual: time.VirtualTime, store: standin.MemoryStore, peers: standin.MemoryPeers, name: string, otherAddresses: string[], dutyApi: duties.DutyApi) {
   const env = virtual.env(1)
   const lease = createLease(virtual, store, name)
-  const ledger = new duties.UsageLedger({ env, store, name, windowMs: WINDOW_MS, isRelay: () => true, log: log.SILENT_LOGGER })
+  const ledger = new duties.UsageLedger({ env, store, eras: store.eras, name, windowMs: WINDOW_MS, isRelay: () => true, log: log.SILENT_LOGGER })
   const peer = peers.join({ address: name, gate: new standin.ProcessGate() } as never)
   const collector = new duties.UsageCollector({ peers: peer, ledger, relayAddresses: () => otherAddresses })
   const closer = new duties.UsageCloser({ env, store, lease, dutyApi, collector, windowMs: WINDOW_MS, log: log.SILENT_LOGGER })
@@ -141,7 +141,7 @@
   it('is stored in full at the end of a process also when a write is in progress then', async () => {
     const virtual = new time.VirtualTime()
     const store = new standin.MemoryStore(virtual)
-    const ledger = new duties.UsageLedger({ env: virtual.env(1), store, name: 'a', windowMs: WINDOW_MS, isRelay: () => true, log: log.SILENT_LOGGER })
+    const ledger = new duties.UsageLedger({ env: virtual.env(1), store, eras: store.eras, name: 'a', windowMs: WINDOW_MS, isRelay: () => true, log: log.SILENT_LOGGER })
     ledger.start()
     store.faults.delayMs = 200
     ledger.countRequest('x')
