Keep final usage counts that were stored in memory as well

The platform saw two reports with different counts of one window after a restore: the store had lost final counts that were reported, the lease holder computed them anew, and a process that had counted in the window had ended since.

Cause: what the holder once stored was taken for stored, and a window without stored final counts for one that was never closed.

KnownFinals holds the final counts that this process has stored, read or reported, as holder now or earlier, bounded to the windows that may still be reported; the first counts known for a window stay, others are logged. After a restore the holder reads the object again, adds what it knows, stores it, and only then reports. A write whose reply comes after a restore was noted counts as not done. No additional store calls.

Test: test/duties/usage-finals.test.ts; failed without the merge ("expected [ '{"x":15}', '{"x":10}' ] to deeply equal [ '{"x":15}' ]") and passes now.

--- a/src/duties/usage-closer.ts
+++ b/src/duties/usage-closer.ts
@@ -1,12 +1,12 @@
 /** Closes usage windows and reports them. The final counts are stored before they are sent. */
-import type * as external from '../external/index.js'
+import * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import * as time from '../time/index.js'
-import * as z from 'zod'
 import type * as lease from './lease.js'
 import type * as types from './types.js'
 import type * as usageCollector from './usage-collector.js'
 import * as usageCounts from './usage-counts.js'
+import * as usageFinals from './usage-finals.js'
 import * as usageLedger from './usage-ledger.js'
 
 /** Key of the final counts. */
@@ -18,20 +18,14 @@
 /** Time from the end of a window to its closing, in ms: by then every process has written its counts twice. */
 const CLOSE_DELAY_MS = 3_200
 
-/** Age at which the report of a window is abandoned and its final counts are deleted, in windows. */
-const ABANDON_AFTER_WINDOWS = 12
-
 /** Age of the newest window of a process at which its stored counts are deleted, in windows. */
 const DELETE_AFTER_WINDOWS = 24
 
-const Counts = z.record(z.string(), z.int())
-const FinalCounts = z.record(z.string(), z.object({ counts: Counts, reported: z.boolean() }))
-export type FinalCounts = z.infer<typeof FinalCounts>
-
 /** Dependencies of the usage closer. */
 export interface UsageCloserDeps {
   readonly env: time.Env
   readonly store: external.ObjectStore
+  readonly eras: external.StoreEras
   readonly lease: lease.Lease
   readonly dutyApi: types.DutyApi
   readonly collector: usageCollector.UsageCollector
@@ -40,13 +34,13 @@
 }
 
 /** Decodes the stored final counts by window; throws when the object does not hold final counts. */
-export function decodeFinalCounts (object: external.StoredObject): FinalCounts {
-  return FinalCounts.parse(JSON.parse(object.value))
+export function decodeFinalCounts (object: external.StoredObject): usageFinals.FinalCounts {
+  return usageFinals.FinalCounts.parse(JSON.parse(object.value))
 }
 
 interface StoredFinalCounts {
-  finalCounts: FinalCounts
-  version: external.ExpectedVersion
+  readonly finalCounts: usageFinals.FinalCounts
+  readonly version: external.ExpectedVersion
 }
 
 /** Closes each window once and reports it; a later lease holder sends the same stored counts again, never others. */
@@ -55,7 +49,9 @@
   private stored: StoredFinalCounts | undefined
   private lastClosed: number | undefined
 
-  constructor (private readonly deps: UsageCloserDeps) {}
+  constructor (private readonly deps: UsageCloserDeps) {
+    deps.eras.onRestored(() => this.forgetStored())
+  }
 
   /** Starts to close windows whenever this gateway holds the lease. */
   start (): void {
@@ -69,8 +65,7 @@
 
   private async check (): Promise<void> {
     if (this.deps.lease.stamp() === undefined) {
-      this.stored = undefined
-      this.lastClosed = undefined
+      this.forgetStored()
       return
     }
     this.stored ??= await this.readFinalCounts()
@@ -80,6 +75,12 @@
     await this.reportWindows(lastDue)
   }
 
+  // What is read next is merged with what is known before anything is reported.
+  private forgetStored (): void {
+    this.stored = undefined
+    this.lastClosed = undefined
+  }
+
   private async readFinalCounts (): Promise<StoredFinalCounts | undefined> {
     const object = await this.deps.store.get(FINAL_COUNTS_KEY)
     if (object.err) return undefined
@@ -88,20 +89,22 @@
   }
 
   private async closeWindows (lastDue: number): Promise<void> {
+    const { stored } = this
+    const { collector } = this.deps
     const list = await this.deps.store.list(usageLedger.COUNTS_PREFIX)
-    if (list.err || this.stored === undefined) return
+    if (list.err || stored === undefined) return
     const merged: usageCounts.ProcessCounts = {}
     for (const object of list.val) this.addStoredCounts(object, lastDue, merged)
-    for (const counts of await this.deps.collector.collect()) mergeCounts(merged, counts)
+    for (const counts of await collector.collect()) mergeCounts(merged, counts)
     const totals = sumByWindow(Object.values(merged))
-    const finalCounts: FinalCounts = {}
-    for (const [window, final] of Object.entries(this.stored.finalCounts)) {
-      if (Number(window) > lastDue - ABANDON_AFTER_WINDOWS) finalCounts[window] = final
-    }
+    collector.finals.add(stored.finalCounts)
+    const finalCounts = collector.finals.after(lastDue - usageFinals.ABANDON_AFTER_WINDOWS)
+    const missing = Object.keys(finalCounts).filter((window) => stored.finalCounts[window] === undefined)
+    if (missing.length > 0) this.deps.log.info({ windows: missing }, 'usage_finals_rewritten')
     for (const [window, counts] of totals) {
-      if (window <= lastDue && window > lastDue - ABANDON_AFTER_WINDOWS) finalCounts[window] ??= { counts, reported: false }
+      if (window <= lastDue && window > lastDue - usageFinals.ABANDON_AFTER_WINDOWS) finalCounts[window] ??= { counts, reported: false }
     }
-    if (await this.writeFinalCounts(finalCounts)) this.lastClosed = lastDue
+    if (await this.writeFinalCounts(stored, finalCounts)) this.lastClosed = lastDue
   }
 
   private addStoredCounts (object: external.StoredObject, lastDue: number, merged: usageCounts.ProcessCounts): void {
@@ -122,28 +125,33 @@
     )
   }
 
-  private async writeFinalCounts (finalCounts: FinalCounts): Promise<boolean> {
-    const stored = this.stored
-    if (stored === undefined) return false
+  // Returns false when nothing may be reported before the stored counts are read again.
+  private async writeFinalCounts (stored: StoredFinalCounts, finalCounts: usageFinals.FinalCounts): Promise<boolean> {
+    if (this.stored !== stored) return false
     if (JSON.stringify(finalCounts) === JSON.stringify(stored.finalCounts)) return true
     const put = await this.deps.store.put(FINAL_COUNTS_KEY, JSON.stringify(finalCounts), stored.version)
-    if (put.ok) this.stored = { finalCounts, version: put.val.version }
-    else this.stored = undefined
-    return put.ok
+    if (put.err || this.stored !== stored) {
+      this.forgetStored()
+      return false
+    }
+    this.deps.collector.finals.add(finalCounts)
+    this.stored = { finalCounts, version: put.val.version }
+    return true
   }
 
   private async reportWindows (lastDue: number): Promise<void> {
-    const stored = this.stored
-    if (stored === undefined) return
+    const { stored } = this
+    if (stored === undefined || this.lastClosed === undefined) return
     for (const [window, final] of Object.entries(stored.finalCounts)) {
       if (final.reported || Number(window) > lastDue) continue
       const stamp = this.deps.lease.stamp()
-      if (stamp === undefined) return
+      if (stamp === undefined || this.stored !== stored) return
       const result = await this.deps.dutyApi.reportUsage(stamp, Number(window), final.counts)
       this.deps.log.info({ window: Number(window), token: stamp.token, outcome: result.ok ? 'accepted' : result.val.message }, 'usage_reported')
       if (result.err) return
       // Stored with the next window; until then a later lease holder sends the same counts again.
       final.reported = true
+      this.deps.collector.finals.add({ [window]: final })
     }
   }
 }
--- a/src/duties/usage-collector.ts
+++ b/src/duties/usage-collector.ts
@@ -1,7 +1,9 @@
 /** Collects the counts of the other gateways directly: one that cannot reach the store has not written its counts there. */
+import type * as log from '../log/index.js'
 import type * as peer from '../peer/index.js'
 import * as z from 'zod'
 import * as usageCounts from './usage-counts.js'
+import * as usageFinals from './usage-finals.js'
 import type * as usageLedger from './usage-ledger.js'
 
 /** Counts of one process, and of all processes that it knows: relays know those of their members. */
@@ -19,12 +21,17 @@
   readonly ledger: usageLedger.UsageLedger
   /** Peer addresses of the other relays. */
   readonly relayAddresses: () => readonly string[]
+  readonly log: log.Logger
 }
 
 /** Gives the counts that this process knows to the lease holder, and collects all counts when this process is the holder. */
 export class UsageCollector {
+  /** Final counts that this process knows. */
+  readonly finals: usageFinals.KnownFinals
+
   constructor (private readonly deps: UsageCollectorDeps) {
-    const { peers, ledger } = deps
+    const { peers, ledger, log } = deps
+    this.finals = new usageFinals.KnownFinals({ currentWindow: () => ledger.currentWindow(), log })
     peers.handle(COUNTS_METHOD, async () => ({ name: ledger.processName, windows: ledger.ownCounts }))
     peers.handle(HELD_METHOD, async (): Promise<z.infer<typeof HeldRes>> => ({ processes: ledger.allCounts }))
   }
--- /dev/null
+++ b/src/duties/usage-finals.ts
@@ -0,0 +1,46 @@
+/** Final counts of closed windows, as this process knows them besides the store, which may return from an older copy. */
+import type * as log from '../log/index.js'
+import * as z from 'zod'
+
+/** Age at which the report of a window is abandoned and its final counts are deleted, in windows. */
+export const ABANDON_AFTER_WINDOWS = 12
+
+/** Windows for which final counts are retained in memory beyond those that may still be reported. */
+const RETAINED_MARGIN_WINDOWS = 4
+
+/** Final counts by window number. */
+export const FinalCounts = z.record(z.string(), z.object({ counts: z.record(z.string(), z.int()), reported: z.boolean() }))
+export type FinalCounts = z.infer<typeof FinalCounts>
+
+/** Dependencies of the known final counts. */
+export interface KnownFinalsDeps {
+  readonly currentWindow: () => number
+  readonly log: log.Logger
+}
+
+/** Final counts that were stored or reported; for each window the first counts that became known. */
+export class KnownFinals {
+  private readonly finals = new Map<number, FinalCounts[string]>()
+
+  constructor (private readonly deps: KnownFinalsDeps) {}
+
+  /** Adds final counts; for a window that is known already, only that it was reported. */
+  add (finalCounts: FinalCounts): void {
+    const current = this.deps.currentWindow()
+    for (const [key, { counts, reported }] of Object.entries(finalCounts)) {
+      const window = Number(key)
+      if (!Number.isInteger(window) || window > current) continue
+      const known = this.finals.get(window)
+      if (known !== undefined && JSON.stringify(known.counts) !== JSON.stringify(counts)) this.deps.log.warn({ window }, 'usage_finals_differ')
+      else this.finals.set(window, { counts, reported: reported || known?.reported === true })
+    }
+    for (const window of this.finals.keys()) {
+      if (window <= current - ABANDON_AFTER_WINDOWS - RETAINED_MARGIN_WINDOWS) this.finals.delete(window)
+    }
+  }
+
+  /** Known final counts of the windows after `window`. */
+  after (window: number): FinalCounts {
+    return Object.fromEntries([...this.finals].filter(([known]) => known > window).sort(([a], [b]) => a - b).map(([known, final]) => [known, { ...final }]))
+  }
+}
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -114,8 +114,8 @@
     this.cacheFeed = this.createCacheFeed()
     const takeoverDelayMs = settings.bounds.takeoverDelayMs
     this.lease = new duties.Lease({ env, elapsed: this.elapsed, store, holder: settings.name, incarnation: settings.incarnation, takeoverDelayMs, contends: isRelay, log })
-    const collector = new duties.UsageCollector({ peers: this.peers, ledger: this.usageLedger, relayAddresses: () => this.exchange.fellowAddresses() })
-    this.usageCloser = new duties.UsageCloser({ env, store, lease: this.lease, dutyApi: deps.dutyApi, collector, windowMs, log })
+    const collector = new duties.UsageCollector({ peers: this.peers, ledger: this.usageLedger, relayAddresses: () => this.exchange.fellowAddresses(), log })
+    this.usageCloser = new duties.UsageCloser({ env, store, eras: deps.eras, lease: this.lease, dutyApi: deps.dutyApi, collector, windowMs, log })
     this.targetOrders = this.createTargetOrders()
     this.gateway = this.createGateway()
     const limits = (): serving.CallerLimits | undefined => this.feed.current()?.config.limits
--- /dev/null
+++ b/test/duties/usage-finals.test.ts
@@ -0,0 +1,91 @@
+import * as chai from 'chai'
+import * as duties from '../../src/duties/index.js'
+import * as errors from '../../src/errors/index.js'
+import * as external from '../../src/external/index.js'
+import * as log from '../../src/log/index.js'
+import * as serving from '../../src/serving/index.js'
+import * as standin from '../../src/standin/index.js'
+import * as time from '../../src/time/index.js'
+
+const WINDOW_MS = 5_000
+
+/** By then a window that just ended has been closed and reported, in ms. */
+const REPORT_MS = 4_500
+
+/** By then another gateway holds the lease, in ms. */
+const TAKEOVER_MS = 9_000
+
+/** Gateways with a store, of which each process can end at any moment. */
+class Fixture {
+  readonly virtual = new time.VirtualTime()
+  readonly store = new standin.MemoryStore(this.virtual)
+  readonly peers = new standin.MemoryPeers(this.virtual)
+  /** Counts of the usage reports that the platform received, by window. */
+  readonly reports = new Map<number, string[]>()
+  readonly events: Array<Record<string, unknown>> = []
+
+  /** Starts a gateway that knows of `others`. */
+  start (name: string, others: string[]) {
+    const { virtual } = this
+    const gate = new standin.ProcessGate()
+    const process = { running: true }
+    const env: time.Env = {
+      ...virtual.env(1),
+      timers: {
+        after: (ms, fn) => virtual.after(ms, () => { if (process.running) fn() }),
+        every: (ms, fn) => virtual.every(ms, () => { if (process.running) fn() })
+      }
+    }
+    const eras = new external.StoreEras()
+    const store = this.store.client(eras)
+    const events = this.events
+    const logger = { ...log.SILENT_LOGGER, warn: (fields: object, event: string) => { events.push({ event, ...fields }) } } as log.Logger
+    const lease = new duties.Lease({ env, elapsed: new serving.ElapsedClock(virtual), store, holder: name, incarnation: `${name}-1`, takeoverDelayMs: 3_000, contends: () => true, log: log.SILENT_LOGGER })
+    const ledger = new duties.UsageLedger({ env, store, eras, name, windowMs: WINDOW_MS, isRelay: () => true, log: log.SILENT_LOGGER })
+    const peer = this.peers.join({ address: name, gate } as never)
+    const collector = new duties.UsageCollector({ peers: peer, ledger, relayAddresses: () => others, log: logger })
+    const dutyApi: duties.DutyApi = {
+      reportUsage: async (_stamp, window, counts) => {
+        this.reports.set(window, [...this.reports.get(window) ?? [], JSON.stringify(counts)])
+        return errors.Ok(undefined)
+      },
+      orderTargets: async () => errors.Ok(undefined)
+    }
+    const closer = new duties.UsageCloser({ env, store, eras, lease, dutyApi, collector, windowMs: WINDOW_MS, log: logger })
+    for (const task of [lease, ledger, closer]) task.start()
+    const kill = (): void => {
+      process.running = false
+      gate.kill()
+    }
+    return { lease, ledger, closer, collector, gate, eras, kill }
+  }
+
+  /** Counts in the present window, then waits until it has ended. */
+  async endWindow (counts: ReadonlyArray<readonly [duties.UsageLedger, number]>): Promise<number> {
+    const window = counts[0]![0].currentWindow()
+    for (const [ledger, count] of counts) for (let index = 0; index < count; index++) ledger.countRequest('x')
+    await this.virtual.advance((window + 1) * WINDOW_MS - this.virtual.wallTimeMs())
+    return window
+  }
+}
+
+describe('UsageCloser after the store has returned from an older copy', () => {
+  it('does not compute counts anew that it stored and reported before, although a process that counted has ended since', async () => {
+    const fixture = new Fixture()
+    const { virtual, store, reports } = fixture
+    const a = fixture.start('a', ['b'])
+    await virtual.advance(1_500)
+    const b = fixture.start('b', ['a'])
+    const copy = store.copy()
+    const window = await fixture.endWindow([[a.ledger, 10], [b.ledger, 5]])
+    await virtual.advance(REPORT_MS)
+    chai.expect(reports.get(window)).to.deep.equal(['{"x":15}'])
+    b.kill()
+    store.restore(copy)
+    const next = await fixture.endWindow([[a.ledger, 1]])
+    await virtual.advance(TAKEOVER_MS)
+    chai.expect([...new Set(reports.get(window))]).to.deep.equal(['{"x":15}'])
+    chai.expect(reports.get(next)).to.deep.equal(['{"x":1}'])
+    chai.expect(store.peek(duties.FINAL_COUNTS_KEY)?.value).to.contain(`"${window}":{"counts":{"x":15}`)
+  })
+})
