Tell the other relays final usage counts before they are reported

The platform saw two reports with different counts of one window when another gateway took over after a restore: only the previous holder, which had ended, knew what it had reported.

Cause: final counts passed from one holder to the next through the store alone.

The holder tells the other relays the final counts (usage.finals) and reports only then; relays keep them, answer them in usage.held, and a new holder adds them before it closes windows. A relay that knows other counts of a window says so, and the caller does not report that window. One call to each relay for each check with an unconfirmed report, 400 ms at most; no calls while nothing is due. Considered: a topic of the exchange; it would not say when the others know the counts.

--- a/src/duties/usage-closer.ts
+++ b/src/duties/usage-closer.ts
@@ -48,6 +48,8 @@
   private task: Disposable | undefined
   private stored: StoredFinalCounts | undefined
   private lastClosed: number | undefined
+  /** Windows of which another relay knows other final counts, which may have been reported: this process reports none. */
+  private readonly disputed = new Set<number>()
 
   constructor (private readonly deps: UsageCloserDeps) {
     deps.eras.onRestored(() => this.forgetStored())
@@ -104,6 +106,7 @@
     for (const [window, counts] of totals) {
       if (window <= lastDue && window > lastDue - usageFinals.ABANDON_AFTER_WINDOWS) finalCounts[window] ??= { counts, reported: false }
     }
+    for (const window of this.disputed) if (window <= lastDue - usageFinals.ABANDON_AFTER_WINDOWS) this.disputed.delete(window)
     if (await this.writeFinalCounts(stored, finalCounts)) this.lastClosed = lastDue
   }
 
@@ -139,19 +142,24 @@
     return true
   }
 
+  // The other relays are told first: the store may lose the final counts, and this process may end.
   private async reportWindows (lastDue: number): Promise<void> {
     const { stored } = this
+    const { collector, log } = this.deps
     if (stored === undefined || this.lastClosed === undefined) return
-    for (const [window, final] of Object.entries(stored.finalCounts)) {
-      if (final.reported || Number(window) > lastDue) continue
+    const due = Object.entries(stored.finalCounts).filter(([window, final]) => !final.reported && Number(window) <= lastDue && !this.disputed.has(Number(window)))
+    if (due.length === 0) return
+    for (const window of await collector.tellFinals(Object.fromEntries(due))) this.disputed.add(window)
+    for (const [window, final] of due) {
       const stamp = this.deps.lease.stamp()
       if (stamp === undefined || this.stored !== stored) return
+      if (this.disputed.has(Number(window))) continue
       const result = await this.deps.dutyApi.reportUsage(stamp, Number(window), final.counts)
-      this.deps.log.info({ window: Number(window), token: stamp.token, outcome: result.ok ? 'accepted' : result.val.message }, 'usage_reported')
+      log.info({ window: Number(window), token: stamp.token, outcome: result.ok ? 'accepted' : result.val.message }, 'usage_reported')
       if (result.err) return
       // Stored with the next window; until then a later lease holder sends the same counts again.
       final.reported = true
-      this.deps.collector.finals.add({ [window]: final })
+      collector.finals.add({ [window]: final })
     }
   }
 }
--- a/src/duties/usage-collector.ts
+++ b/src/duties/usage-collector.ts
@@ -1,4 +1,5 @@
 /** Collects the counts of the other gateways directly: one that cannot reach the store has not written its counts there. */
+import type * as errors from '../errors/index.js'
 import type * as log from '../log/index.js'
 import type * as peer from '../peer/index.js'
 import * as z from 'zod'
@@ -9,11 +10,16 @@
 /** Counts of one process, and of all processes that it knows: relays know those of their members. */
 const COUNTS_METHOD = 'usage.counts'
 const HELD_METHOD = 'usage.held'
+/** Final counts that the caller is about to report. */
+const FINALS_METHOD = 'usage.finals'
 
 /** Time allowed for a reply, in ms. */
 const REPLY_TIMEOUT_MS = 400
 
-const HeldRes = z.object({ processes: usageCounts.ProcessCounts })
+const HeldRes = z.object({ processes: usageCounts.ProcessCounts, finals: usageFinals.FinalCounts.default({}) })
+const FinalsReq = z.object({ finals: usageFinals.FinalCounts })
+/** Windows of which the callee knows other final counts. */
+const FinalsRes = z.object({ differing: z.array(z.int()) })
 
 /** Dependencies of the collector. */
 export interface UsageCollectorDeps {
@@ -33,17 +39,36 @@
     const { peers, ledger, log } = deps
     this.finals = new usageFinals.KnownFinals({ currentWindow: () => ledger.currentWindow(), log })
     peers.handle(COUNTS_METHOD, async () => ({ name: ledger.processName, windows: ledger.ownCounts }))
-    peers.handle(HELD_METHOD, async (): Promise<z.infer<typeof HeldRes>> => ({ processes: ledger.allCounts }))
+    peers.handle(HELD_METHOD, async (): Promise<z.infer<typeof HeldRes>> => ({ processes: ledger.allCounts, finals: this.finals.after(-Infinity) }))
+    peers.handle(FINALS_METHOD, async (params): Promise<z.infer<typeof FinalsRes>> => ({ differing: this.finals.add(FinalsReq.parse(params).finals) }))
   }
 
-  /** Returns the counts that this process and all relays that reply know. */
+  /** Returns the counts that this process and all relays that reply know; adds the final counts that they know. */
   async collect (): Promise<usageCounts.ProcessCounts[]> {
-    const replies = await Promise.all(this.deps.relayAddresses().map(async (address) => await this.deps.peers.call<unknown>(address, HELD_METHOD, {}, REPLY_TIMEOUT_MS)))
+    const replies = await this.callRelays(HELD_METHOD, {})
     const collected = [this.deps.ledger.allCounts]
     for (const reply of replies) {
       const parsed = reply.ok ? HeldRes.safeParse(reply.val) : undefined
-      if (parsed?.success === true) collected.push(parsed.data.processes)
+      if (parsed?.success !== true) continue
+      collected.push(parsed.data.processes)
+      this.finals.add(parsed.data.finals)
     }
     return collected
   }
+
+  /** Tells the other relays final counts before they are reported. Returns the windows of which one knows other counts. */
+  async tellFinals (finals: usageFinals.FinalCounts): Promise<Set<number>> {
+    const replies = await this.callRelays(FINALS_METHOD, { finals })
+    // Counts that another holder told meanwhile are known here as well.
+    const differing = new Set(this.finals.add(finals))
+    for (const reply of replies) {
+      const parsed = reply.ok ? FinalsRes.safeParse(reply.val) : undefined
+      if (parsed?.success === true) for (const window of parsed.data.differing) differing.add(window)
+    }
+    return differing
+  }
+
+  private async callRelays (method: string, params: unknown): Promise<Array<errors.Result<unknown, peer.PeerError>>> {
+    return await Promise.all(this.deps.relayAddresses().map(async (address) => await this.deps.peers.call<unknown>(address, method, params, REPLY_TIMEOUT_MS)))
+  }
 }
