Withhold windows that may have been reported before a restore

The platform saw two reports with different counts of one window: the lease holder closed and reported a window while it was cut off from the other gateways, the store lost the final counts, the holder ended, and the next one computed them anew.

Cause: nothing told a window that was never closed from one whose final counts the store has lost.

The object of the final counts contains the era in which it was written. A holder that reads it in a later era, also one that started after the restore, closes no window that was due before the restore unless it or a relay that answers knows the final counts; it stores the last such window with the new era, so later holders do the same, and closes later windows normally. Gateways that run note the last window that is due when they first see the era and answer it in usage.held; without any such answer all windows due by now are withheld. A missing object counts as one of era 0. Objects of earlier builds are read as such.

What remains: a window that was due while the store was away counts as possibly reported and is withheld, which is priced; wall clocks that differ by more than the time between two closings.

Test: test/duties/usage-finals.test.ts. Without the rule: "expected [ '{"x":13}', '{"x":10}' ] to deeply equal [ '{"x":13}' ]", for a holder from before and for one from after the restore; without the noted bound a window that became due later is not reported ("expected undefined to deeply equal [ '{"x":10}' ]").

--- a/src/duties/usage-closer.ts
+++ b/src/duties/usage-closer.ts
@@ -15,9 +15,6 @@
 /** Time between two checks, in ms. */
 const CHECK_INTERVAL_MS = 700
 
-/** Time from the end of a window to its closing, in ms: by then every process has written its counts twice. */
-const CLOSE_DELAY_MS = 3_200
-
 /** Age of the newest window of a process at which its stored counts are deleted, in windows. */
 const DELETE_AFTER_WINDOWS = 24
 
@@ -35,18 +32,20 @@
 
 /** Decodes the stored final counts by window; throws when the object does not hold final counts. */
 export function decodeFinalCounts (object: external.StoredObject): usageFinals.FinalCounts {
-  return usageFinals.FinalCounts.parse(JSON.parse(object.value))
+  return usageFinals.decodeStoredFinals(object.value).windows
 }
 
-interface StoredFinalCounts {
-  readonly finalCounts: usageFinals.FinalCounts
+interface ReadFinals {
+  readonly finals: usageFinals.StoredFinals
   readonly version: external.ExpectedVersion
+  /** Era of the store at the time of the read or write. */
+  readonly era: number
 }
 
 /** Closes each window once and reports it; a later lease holder sends the same stored counts again, never others. */
 export class UsageCloser implements Disposable {
   private task: Disposable | undefined
-  private stored: StoredFinalCounts | undefined
+  private stored: ReadFinals | undefined
   private lastClosed: number | undefined
   /** Windows of which another relay knows other final counts, which may have been reported: this process reports none. */
   private readonly disputed = new Set<number>()
@@ -72,7 +71,7 @@
     }
     this.stored ??= await this.readFinalCounts()
     if (this.stored === undefined) return
-    const lastDue = Math.floor((this.deps.env.clock.wallTimeMs() - CLOSE_DELAY_MS) / this.deps.windowMs) - 1
+    const lastDue = usageCounts.lastDueWindow(this.deps.env.clock.wallTimeMs(), this.deps.windowMs)
     if (this.lastClosed === undefined || this.lastClosed < lastDue) await this.closeWindows(lastDue)
     await this.reportWindows(lastDue)
   }
@@ -83,11 +82,12 @@
     this.lastClosed = undefined
   }
 
-  private async readFinalCounts (): Promise<StoredFinalCounts | undefined> {
+  private async readFinalCounts (): Promise<ReadFinals | undefined> {
     const object = await this.deps.store.get(FINAL_COUNTS_KEY)
     if (object.err) return undefined
-    if (object.val === undefined) return { finalCounts: {}, version: 'absent' }
-    return { finalCounts: decodeFinalCounts(object.val), version: object.val.version }
+    if (object.val === undefined) return { finals: usageFinals.NO_FINALS, version: 'absent', era: this.deps.eras.current ?? 0 }
+    const { version, value } = object.val
+    return { finals: usageFinals.decodeStoredFinals(value), version, era: external.eraOf(version) }
   }
 
   private async closeWindows (lastDue: number): Promise<void> {
@@ -99,15 +99,27 @@
     for (const object of list.val) this.addStoredCounts(object, lastDue, merged)
     for (const counts of await collector.collect()) mergeCounts(merged, counts)
     const totals = sumByWindow(Object.values(merged))
-    collector.finals.add(stored.finalCounts)
-    const finalCounts = collector.finals.after(lastDue - usageFinals.ABANDON_AFTER_WINDOWS)
-    const missing = Object.keys(finalCounts).filter((window) => stored.finalCounts[window] === undefined)
+    collector.finals.add(stored.finals.windows)
+    const windows = collector.finals.after(lastDue - usageFinals.ABANDON_AFTER_WINDOWS)
+    const missing = Object.keys(windows).filter((window) => stored.finals.windows[window] === undefined)
     if (missing.length > 0) this.deps.log.info({ windows: missing }, 'usage_finals_rewritten')
+    const withheldTo = this.withheldTo(stored, lastDue)
+    const withheld: number[] = []
     for (const [window, counts] of totals) {
-      if (window <= lastDue && window > lastDue - usageFinals.ABANDON_AFTER_WINDOWS) finalCounts[window] ??= { counts, reported: false }
+      if (window > lastDue || window <= lastDue - usageFinals.ABANDON_AFTER_WINDOWS || windows[window] !== undefined) continue
+      if (window <= withheldTo) withheld.push(window)
+      else windows[window] = { counts, reported: false }
     }
+    if (withheldTo > stored.finals.withheldTo && withheld.length > 0) this.deps.log.warn({ windows: withheld, era: stored.era }, 'usage_windows_withheld')
     for (const window of this.disputed) if (window <= lastDue - usageFinals.ABANDON_AFTER_WINDOWS) this.disputed.delete(window)
-    if (await this.writeFinalCounts(stored, finalCounts)) this.lastClosed = lastDue
+    if (await this.writeFinals(stored, { era: stored.era, withheldTo, windows })) this.lastClosed = lastDue
+  }
+
+  // A window that was due before a restore may have been closed and reported with counts that the store has lost.
+  private withheldTo ({ finals, era }: ReadFinals, lastDue: number): number {
+    if (finals.era >= era) return finals.withheldTo
+    const bound = this.deps.collector.finals.restoreBound
+    return Math.max(finals.withheldTo, bound?.era === era ? Math.min(bound.lastDue, lastDue) : lastDue)
   }
 
   private addStoredCounts (object: external.StoredObject, lastDue: number, merged: usageCounts.ProcessCounts): void {
@@ -129,16 +141,16 @@
   }
 
   // Returns false when nothing may be reported before the stored counts are read again.
-  private async writeFinalCounts (stored: StoredFinalCounts, finalCounts: usageFinals.FinalCounts): Promise<boolean> {
+  private async writeFinals (stored: ReadFinals, finals: usageFinals.StoredFinals): Promise<boolean> {
     if (this.stored !== stored) return false
-    if (JSON.stringify(finalCounts) === JSON.stringify(stored.finalCounts)) return true
-    const put = await this.deps.store.put(FINAL_COUNTS_KEY, JSON.stringify(finalCounts), stored.version)
+    if (JSON.stringify(finals) === JSON.stringify(stored.finals)) return true
+    const put = await this.deps.store.put(FINAL_COUNTS_KEY, JSON.stringify(finals), stored.version)
     if (put.err || this.stored !== stored) {
       this.forgetStored()
       return false
     }
-    this.deps.collector.finals.add(finalCounts)
-    this.stored = { finalCounts, version: put.val.version }
+    this.deps.collector.finals.add(finals.windows)
+    this.stored = { finals, version: put.val.version, era: external.eraOf(put.val.version) }
     return true
   }
 
@@ -147,7 +159,7 @@
     const { stored } = this
     const { collector, log } = this.deps
     if (stored === undefined || this.lastClosed === undefined) return
-    const due = Object.entries(stored.finalCounts).filter(([window, final]) => !final.reported && Number(window) <= lastDue && !this.disputed.has(Number(window)))
+    const due = Object.entries(stored.finals.windows).filter(([window, final]) => !final.reported && Number(window) <= lastDue && !this.disputed.has(Number(window)))
     if (due.length === 0) return
     for (const window of await collector.tellFinals(Object.fromEntries(due))) this.disputed.add(window)
     for (const [window, final] of due) {
--- a/src/duties/usage-collector.ts
+++ b/src/duties/usage-collector.ts
@@ -1,5 +1,6 @@
 /** Collects the counts of the other gateways directly: one that cannot reach the store has not written its counts there. */
 import type * as errors from '../errors/index.js'
+import type * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import type * as peer from '../peer/index.js'
 import * as z from 'zod'
@@ -16,7 +17,7 @@
 /** Time allowed for a reply, in ms. */
 const REPLY_TIMEOUT_MS = 400
 
-const HeldRes = z.object({ processes: usageCounts.ProcessCounts, finals: usageFinals.FinalCounts.default({}) })
+const HeldRes = z.object({ processes: usageCounts.ProcessCounts, finals: usageFinals.FinalCounts.default({}), restored: usageFinals.RestoreBound.optional() })
 const FinalsReq = z.object({ finals: usageFinals.FinalCounts })
 /** Windows of which the callee knows other final counts. */
 const FinalsRes = z.object({ differing: z.array(z.int()) })
@@ -25,6 +26,7 @@
 export interface UsageCollectorDeps {
   readonly peers: peer.Peers
   readonly ledger: usageLedger.UsageLedger
+  readonly eras: external.StoreEras
   /** Peer addresses of the other relays. */
   readonly relayAddresses: () => readonly string[]
   readonly log: log.Logger
@@ -36,10 +38,10 @@
   readonly finals: usageFinals.KnownFinals
 
   constructor (private readonly deps: UsageCollectorDeps) {
-    const { peers, ledger, log } = deps
-    this.finals = new usageFinals.KnownFinals({ currentWindow: () => ledger.currentWindow(), log })
+    const { peers, ledger, eras, log } = deps
+    this.finals = new usageFinals.KnownFinals({ eras, lastDueWindow: () => ledger.lastDueWindow(), currentWindow: () => ledger.currentWindow(), log })
     peers.handle(COUNTS_METHOD, async () => ({ name: ledger.processName, windows: ledger.ownCounts }))
-    peers.handle(HELD_METHOD, async (): Promise<z.infer<typeof HeldRes>> => ({ processes: ledger.allCounts, finals: this.finals.after(-Infinity) }))
+    peers.handle(HELD_METHOD, async (): Promise<z.infer<typeof HeldRes>> => ({ processes: ledger.allCounts, finals: this.finals.after(-Infinity), restored: this.finals.restoreBound }))
     peers.handle(FINALS_METHOD, async (params): Promise<z.infer<typeof FinalsRes>> => ({ differing: this.finals.add(FinalsReq.parse(params).finals) }))
   }
 
@@ -52,6 +54,7 @@
       if (parsed?.success !== true) continue
       collected.push(parsed.data.processes)
       this.finals.add(parsed.data.finals)
+      if (parsed.data.restored !== undefined) this.finals.addBound(parsed.data.restored)
     }
     return collected
   }
--- a/src/duties/usage-counts.ts
+++ b/src/duties/usage-counts.ts
@@ -4,6 +4,14 @@
 /** Number of windows whose counts are retained, the current one included; older ones have been closed. */
 const RETAINED_WINDOWS = 5
 
+/** Time from the end of a window to its closing, in ms: by then every process has written its counts twice. */
+const CLOSE_DELAY_MS = 3_200
+
+/** Last window that is due to be closed at a wall-clock time, in ms. */
+export function lastDueWindow (wallTimeMs: number, windowMs: number): number {
+  return Math.floor((wallTimeMs - CLOSE_DELAY_MS) / windowMs) - 1
+}
+
 /** Counts of one process by window number and account. */
 export const WindowCounts = z.record(z.string(), z.record(z.string(), z.int()))
 export type WindowCounts = z.infer<typeof WindowCounts>
--- a/src/duties/usage-finals.ts
+++ b/src/duties/usage-finals.ts
@@ -1,4 +1,5 @@
 /** Final counts of closed windows, as this process knows them besides the store, which may return from an older copy. */
+import type * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import * as z from 'zod'
 
@@ -15,17 +16,58 @@
 export const FinalCounts = z.record(z.string(), z.object({ counts: Counts, reported: z.boolean() }))
 export type FinalCounts = z.infer<typeof FinalCounts>
 
+/** The stored object of final counts. */
+export const StoredFinals = z.object({
+  /** Era of the store in which the object was written: in a later one, the store may have lost windows that were closed. */
+  era: z.int(),
+  /** Last window that may have been closed and reported before a restore: without known final counts it is not closed again. */
+  withheldTo: z.int(),
+  windows: FinalCounts
+})
+export type StoredFinals = z.infer<typeof StoredFinals>
+
+/** Final counts of a store that was never restored and in which no window was closed. */
+export const NO_FINALS: StoredFinals = { era: 0, withheldTo: -1, windows: {} }
+
+/** Decodes stored final counts; throws when they are malformed. Objects of earlier builds hold the windows alone. */
+export function decodeStoredFinals (text: string): StoredFinals {
+  const value: unknown = JSON.parse(text)
+  const windows = FinalCounts.safeParse(value)
+  return windows.success ? { ...NO_FINALS, windows: windows.data } : StoredFinals.parse(value)
+}
+
+/** Last window that may have been closed before the restore with which an era began. */
+export const RestoreBound = z.object({ era: z.int(), lastDue: z.int() })
+export type RestoreBound = z.infer<typeof RestoreBound>
+
 /** Dependencies of the known final counts. */
 export interface KnownFinalsDeps {
+  readonly eras: external.StoreEras
   readonly currentWindow: () => number
+  /** Last window that is due to be closed. */
+  readonly lastDueWindow: () => number
   readonly log: log.Logger
 }
 
 /** Final counts that were stored or reported; for each window the first counts that became known. */
 export class KnownFinals {
   private readonly finals = new Map<number, FinalCounts[string]>()
+  private latestBound: RestoreBound | undefined
 
-  constructor (private readonly deps: KnownFinalsDeps) {}
+  constructor (private readonly deps: KnownFinalsDeps) {
+    deps.eras.onRestored((era) => this.addBound({ era, lastDue: deps.lastDueWindow() }))
+  }
+
+  /** Bound of the latest restore that this process or one that it asked has noticed. */
+  get restoreBound (): RestoreBound | undefined {
+    return this.latestBound
+  }
+
+  /** Adds a bound that this or another process noticed: each holds, so the lowest one of an era does. */
+  addBound (bound: RestoreBound): void {
+    const { latestBound: latest } = this
+    if (latest === undefined || bound.era > latest.era || (bound.era === latest.era && bound.lastDue < latest.lastDue)) this.latestBound = bound
+  }
 
   /** Adds final counts; for a window that is known already, only that it was reported. Returns the windows whose known counts differ. */
   add (finalCounts: FinalCounts): number[] {
--- a/src/duties/usage-ledger.ts
+++ b/src/duties/usage-ledger.ts
@@ -80,6 +80,11 @@
     return Math.floor(this.deps.env.clock.wallTimeMs() / this.deps.windowMs)
   }
 
+  /** Number of the last window that is due to be closed. */
+  lastDueWindow (): number {
+    return usageCounts.lastDueWindow(this.deps.env.clock.wallTimeMs(), this.deps.windowMs)
+  }
+
   changesSince (link: exchange.Link, position: number | undefined): exchange.Changes | undefined {
     if (link.kind !== 'relay') return undefined
     this.confirmedPosition = position ?? 0
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -114,7 +114,7 @@
     this.cacheFeed = this.createCacheFeed()
     const takeoverDelayMs = settings.bounds.takeoverDelayMs
     this.lease = new duties.Lease({ env, elapsed: this.elapsed, store, holder: settings.name, incarnation: settings.incarnation, takeoverDelayMs, contends: isRelay, log })
-    const collector = new duties.UsageCollector({ peers: this.peers, ledger: this.usageLedger, relayAddresses: () => this.exchange.fellowAddresses(), log })
+    const collector = new duties.UsageCollector({ peers: this.peers, ledger: this.usageLedger, eras: deps.eras, relayAddresses: () => this.exchange.fellowAddresses(), log })
     this.usageCloser = new duties.UsageCloser({ env, store, eras: deps.eras, lease: this.lease, dutyApi: deps.dutyApi, collector, windowMs, log })
     this.targetOrders = this.createTargetOrders()
     this.gateway = this.createGateway()
--- a/test/duties/duties.test.ts
+++ b/test/duties/duties.test.ts
@@ -107,7 +107,7 @@
   const lease = createLease(virtual, store, name)
   const ledger = new duties.UsageLedger({ env, store, eras: store.eras, name, windowMs: WINDOW_MS, isRelay: () => true, log: log.SILENT_LOGGER })
   const peer = peers.join({ address: name, gate: new standin.ProcessGate() } as never)
-  const collector = new duties.UsageCollector({ peers: peer, ledger, relayAddresses: () => otherAddresses, log: log.SILENT_LOGGER })
+  const collector = new duties.UsageCollector({ peers: peer, ledger, eras: store.eras, relayAddresses: () => otherAddresses, log: log.SILENT_LOGGER })
   const closer = new duties.UsageCloser({ env, store, eras: store.eras, lease, dutyApi, collector, windowMs: WINDOW_MS, log: log.SILENT_LOGGER })
   lease.start()
   ledger.start()
--- a/test/duties/usage-finals.test.ts
+++ b/test/duties/usage-finals.test.ts
@@ -43,7 +43,7 @@
     const lease = new duties.Lease({ env, elapsed: new serving.ElapsedClock(virtual), store, holder: name, incarnation: `${name}-1`, takeoverDelayMs: 3_000, contends: () => true, log: log.SILENT_LOGGER })
     const ledger = new duties.UsageLedger({ env, store, eras, name, windowMs: WINDOW_MS, isRelay: () => true, log: log.SILENT_LOGGER })
     const peer = this.peers.join({ address: name, gate } as never)
-    const collector = new duties.UsageCollector({ peers: peer, ledger, relayAddresses: () => others, log: logger })
+    const collector = new duties.UsageCollector({ peers: peer, ledger, eras, relayAddresses: () => others, log: logger })
     const dutyApi: duties.DutyApi = {
       reportUsage: async (_stamp, window, counts) => {
         this.reports.set(window, [...this.reports.get(window) ?? [], JSON.stringify(counts)])
@@ -143,4 +143,62 @@
     await virtual.advance(REPORT_MS)
     chai.expect([reports.get(window), reports.get(next)]).to.deep.equal([undefined, ['{"x":2}']])
   })
+  // The first gateway is cut off from the others, so that only the store and its own memory have what it reported.
+  async function reportCutOff () {
+    const fixture = new Fixture()
+    const { virtual, store, reports } = fixture
+    const a = fixture.start('a', [])
+    await virtual.advance(1_500)
+    const first = await fixture.endWindow([[a.ledger, 4]])
+    await virtual.advance(REPORT_MS)
+    await fixture.endWindow([[a.ledger, 1]])
+    const window = a.ledger.currentWindow()
+    for (let index = 0; index < 10; index++) a.ledger.countRequest('x')
+    await virtual.advance(4_000)
+    const copy = store.copy()
+    await fixture.endWindow([[a.ledger, 3]])
+    return { ...fixture, fixture, virtual, store, reports, a, copy, first, window }
+  }
+
+  it('does not report other counts of a window that may have been reported when nobody knows its final counts', async () => {
+    const { fixture, virtual, store, reports, a, copy, window } = await reportCutOff()
+    const b = fixture.start('b', ['a'])
+    await virtual.advance(REPORT_MS)
+    chai.expect(reports.get(window)).to.deep.equal(['{"x":13}'])
+    store.restore(copy)
+    a.kill()
+    await virtual.advance(TAKEOVER_MS)
+    const next = await fixture.endWindow([[b.ledger, 1]])
+    await virtual.advance(REPORT_MS)
+    chai.expect(b.lease.stamp()).not.to.equal(undefined)
+    chai.expect(reports.get(window)).to.deep.equal(['{"x":13}'])
+    chai.expect(reports.get(next)).to.deep.equal(['{"x":1}'])
+    chai.expect(fixture.events).to.deep.include({ event: 'usage_windows_withheld', windows: [window], era: 1 })
+  })
+
+  it('does not report them when the new holder has started after the restore', async () => {
+    const { fixture, virtual, store, reports, a, copy, first, window } = await reportCutOff()
+    await virtual.advance(REPORT_MS)
+    chai.expect(reports.get(window)).to.deep.equal(['{"x":13}'])
+    store.restore(copy)
+    a.kill()
+    const c = fixture.start('c', ['a'])
+    await virtual.advance(TAKEOVER_MS)
+    const next = await fixture.endWindow([[c.ledger, 1]])
+    await virtual.advance(REPORT_MS)
+    chai.expect([...new Set(reports.get(first))]).to.deep.equal(['{"x":4}'])
+    chai.expect(reports.get(window)).to.deep.equal(['{"x":13}'])
+    chai.expect(reports.get(next)).to.deep.equal(['{"x":1}'])
+  })
+
+  it('does not withhold a window that became due after the restore was noticed, although the lease is taken later', async () => {
+    const { fixture, virtual, store, reports, a, copy, window } = await reportCutOff()
+    const b = fixture.start('b', ['a'])
+    b.ledger.countRequest('x')
+    await virtual.advance(1_500)
+    store.restore(copy)
+    a.kill()
+    await virtual.advance(TAKEOVER_MS)
+    chai.expect(reports.get(window)).to.deep.equal(['{"x":10}'])
+  })
 })
--- a/test/support/gateway-region.ts
+++ b/test/support/gateway-region.ts
@@ -66,7 +66,7 @@
     this.feed = new serving.ConfigFeed({ env, elapsed, store, eras, key: CONFIG_KEY, propagationMs: CONFIG_BOUND_MS, isReader: isRelay, decode: (text) => build.aConfig({ version: Number(text) }), log: silent, metrics: new metrics.Metrics() })
     this.fleetFeed = new fleet.FleetFeed({ env, elapsed, store, prefix: TARGETS_PREFIX, leavePropagationMs: LEAVE_BOUND_MS, shortestExpiryMs: TARGET_EXPIRY_MS, isReader: isRelay, decode: (object) => JSON.parse(object.value) as serving.TargetRecord, fleet: this.fleet, log: silent })
     this.ledger = new duties.UsageLedger({ env, store, eras, name: `${name}.${incarnation}`, windowMs: WINDOW_MS, isRelay, log: silent })
-    this.collector = new duties.UsageCollector({ peers, ledger: this.ledger, relayAddresses: () => this.exchange.fellowAddresses(), log: silent })
+    this.collector = new duties.UsageCollector({ peers, ledger: this.ledger, eras, relayAddresses: () => this.exchange.fellowAddresses(), log: silent })
     this.quarantine = new quarantine.SegmentQuarantine({ clock: virtual, selfName: name, gateways: () => this.directory.gatewayNames(), log: silent })
     const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.ledger, this.quarantine]
     this.exchange = new exchange.Exchange({ env, elapsed, peers, self, roster: this.roster, topics, ready: () => this.ready, log: silent })
