Replace stored final usage counts that cannot be decoded

The platform got no usage report any more once the stored object of the final counts was malformed: each check threw, for as long as the object stayed.

Cause: the object was parsed without handling the error. Taking it for empty would report other counts of windows that were reported before.

Such an object counts as one that has lost its windows at an unknown time: windows that are due are closed only with final counts that a relay knows, later ones as usual, and the object is replaced. The bound of an earlier restore does not apply, as windows may have been closed since.

Test: test/duties/usage-finals.test.ts, three malformed objects; before: "expected undefined to deeply equal [ '{"x":1}' ]", and with the bound of the earlier restore "[ '{"x":11}', '{"x":1}' ]"; all pass now.

--- a/src/duties/usage-closer.ts
+++ b/src/duties/usage-closer.ts
@@ -15,6 +15,9 @@
 /** Time between two checks, in ms. */
 const CHECK_INTERVAL_MS = 700
 
+/** Longest logged reason why an object is malformed, in characters. */
+const MAX_REASON_CHARS = 200
+
 /** Age of the newest window of a process at which its stored counts are deleted, in windows. */
 const DELETE_AFTER_WINDOWS = 24
 
@@ -86,8 +89,17 @@
     const object = await this.deps.store.get(FINAL_COUNTS_KEY)
     if (object.err) return undefined
     if (object.val === undefined) return { finals: usageFinals.NO_FINALS, version: 'absent', era: this.deps.eras.current ?? 0 }
-    const { version, value } = object.val
-    return { finals: usageFinals.decodeStoredFinals(value), version, era: external.eraOf(version) }
+    const { version } = object.val
+    return { finals: this.decodeOrReplace(object.val), version, era: external.eraOf(version) }
+  }
+
+  private decodeOrReplace (object: external.StoredObject): usageFinals.StoredFinals {
+    try {
+      return usageFinals.decodeStoredFinals(object.value)
+    } catch (err) {
+      this.deps.log.warn({ key: object.key, version: object.version, reason: String(err).slice(0, MAX_REASON_CHARS) }, 'usage_finals_malformed')
+      return usageFinals.LOST_FINALS
+    }
   }
 
   private async closeWindows (lastDue: number): Promise<void> {
@@ -119,7 +131,9 @@
   private withheldTo ({ finals, era }: ReadFinals, lastDue: number): number {
     if (finals.era >= era) return finals.withheldTo
     const bound = this.deps.collector.finals.restoreBound
-    return Math.max(finals.withheldTo, bound?.era === era ? Math.min(bound.lastDue, lastDue) : lastDue)
+    // A malformed object tells no era, so windows may have been closed since the restore too.
+    const isBound = bound?.era === era && finals !== usageFinals.LOST_FINALS
+    return Math.max(finals.withheldTo, isBound ? Math.min(bound.lastDue, lastDue) : lastDue)
   }
 
   private addStoredCounts (object: external.StoredObject, lastDue: number, merged: usageCounts.ProcessCounts): void {
--- a/src/duties/usage-finals.ts
+++ b/src/duties/usage-finals.ts
@@ -29,6 +29,9 @@
 /** Final counts of a store that was never restored and in which no window was closed. */
 export const NO_FINALS: StoredFinals = { era: 0, withheldTo: -1, windows: {} }
 
+/** Stands for an object that cannot be used: windows that were due may have been closed in any era. */
+export const LOST_FINALS: StoredFinals = { ...NO_FINALS, era: -1 }
+
 /** Decodes stored final counts; throws when they are malformed. Objects of earlier builds hold the windows alone. */
 export function decodeStoredFinals (text: string): StoredFinals {
   const value: unknown = JSON.parse(text)
--- a/test/duties/usage-finals.test.ts
+++ b/test/duties/usage-finals.test.ts
@@ -202,3 +202,30 @@
     chai.expect(reports.get(window)).to.deep.equal(['{"x":10}'])
   })
 })
+
+describe('UsageCloser with a malformed object of final counts', () => {
+  for (const text of ['[1]', '{"7', '{"era":0,"withheldTo":"x","windows":{}}']) {
+    it(`closes later windows, and reports no other counts of earlier ones, when the object is ${text}`, async () => {
+      const fixture = new Fixture()
+      const { virtual, store, reports } = fixture
+      const gateways = [fixture.start('a', []), fixture.start('b', [])]
+      await virtual.advance(1_500)
+      store.restore(store.copy())
+      await virtual.advance(TAKEOVER_MS)
+      const holder = gateways.find(({ lease }) => lease.stamp() !== undefined)!
+      const b = gateways.find((gateway) => gateway !== holder)!
+      const window = await fixture.endWindow([[holder.ledger, 10], [b.ledger, 1]])
+      await virtual.advance(REPORT_MS)
+      holder.kill()
+      const write = async (key: string, value: string): Promise<void> => { await Promise.all([store.put(key, value, store.peek(key)!.version), virtual.advance(10)]) }
+      await write(duties.FINAL_COUNTS_KEY, text)
+      await write(`godwitpoint-usage/${holder.ledger.processName}`, text)
+      await virtual.advance(TAKEOVER_MS)
+      const next = await fixture.endWindow([[b.ledger, 1]])
+      await virtual.advance(REPORT_MS)
+      chai.expect(reports.get(window)).to.deep.equal(['{"x":11}'])
+      chai.expect(reports.get(next)).to.deep.equal(['{"x":1}'])
+      chai.expect(fixture.events.filter(({ event }) => event === 'usage_finals_malformed')).to.have.length(1)
+    })
+  }
+})
