--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -105,7 +105,7 @@
     const self = this.gatewayRecord()
     this.roster = new exchange.Roster({ clock: env.clock, log, self })
     const windowMs = settings.bounds.usageWindowMs
-    this.usageLedger = new duties.UsageLedger({ env, store, name: `${settings.name}.${settings.incarnation}`, windowMs, isRelay, log })
+    this.usageLedger = new duties.UsageLedger({ env, store, eras: deps.eras, name: `${settings.name}.${settings.incarnation}`, windowMs, isRelay, log })
     this.quarantine = new quarantine.SegmentQuarantine({ clock: env.clock, selfName: settings.name, gateways: () => this.directory.gatewayNames(), log })
     this.quarantineRecords = new quarantine.QuarantineRecords({ env, store, eras: deps.eras, quarantine: this.quarantine, log })
     const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine]
@@ -114,8 +114,8 @@
     this.cacheFeed = this.createCacheFeed()
     const takeoverDelayMs = settings.bounds.takeoverDelayMs
     this.lease = new duties.Lease({ env, elapsed: this.elapsed, store, eras: deps.eras, holder: settings.name, incarnation: settings.incarnation, takeoverDelayMs, contends: isRelay, log })
-    const collector = new duties.UsageCollector({ peers: this.peers, ledger: this.usageLedger, relayAddresses: () => this.exchange.fellowAddresses() })
-    this.usageCloser = new duties.UsageCloser({ env, store, lease: this.lease, dutyApi: deps.dutyApi, collector, windowMs, log })
+    const collector = new duties.UsageCollector({ peers: this.peers, ledger: this.usageLedger, eras: deps.eras, relayAddresses: () => this.exchange.fellowAddresses(), log })
+    this.usageCloser = new duties.UsageCloser({ env, store, eras: deps.eras, lease: this.lease, dutyApi: deps.dutyApi, collector, windowMs, log })
     this.targetOrders = this.createTargetOrders()
     this.gateway = this.createGateway()
     const limits = (): serving.CallerLimits | undefined => this.feed.current()?.config.limits
