--- a/src/external/index.ts
+++ b/src/external/index.ts
@@ -2,4 +2,4 @@
 export type * from './types.js'
 export { HttpPlatform } from './http-client.js'
 export { StoreEras, type RestoreListener } from './store-eras.js'
-export { eraOf, revisionOf, storeVersion } from './store-version.js'
+export { REVISIONS_PER_ERA, eraOf, revisionOf, storeVersion } from './store-version.js'
--- a/src/external/store-version.ts
+++ b/src/external/store-version.ts
@@ -4,7 +4,7 @@
  */
 
 /** Revisions of one era; leaves room for 8,192 eras in an integer that JSON carries exactly. */
-const REVISIONS_PER_ERA = 2 ** 40
+export const REVISIONS_PER_ERA = 2 ** 40
 
 /** Version of a revision in an era. */
 export function storeVersion (era: number, revision: number): number {
