--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -28,6 +28,32 @@
   })
 })
 
+// Entries of other writers were listed as targets although no request can be sent there, or made the decoder throw.
+describe('target entries of other writers', () => {
+  for (const changes of [
+    { address: '10.0.0.9:99999' }, { address: '10.0.0.9:0' }, { address: '10.0.0.9:65536' }, { address: '999.1.1.1:80' }, { address: '10.0.0.256:80' },
+    { address: '010.0.0.9:80' }, { address: '10.0.0.9:80\n' }, { address: '10.0.0.9:080' },
+    { slots: 1e15 }, { slots: 2.5 }, { slots: 0 }, { slots: 1e300 }, { born: -1 }, { born: 9e15 }, { born: 1e300 },
+    { service: 's'.repeat(2_000) }, { zone: 'z'.repeat(2_000) }, { zone: null }, { spot: 'no' }, { state: undefined }
+  ]) {
+    it(`name no target: ${JSON.stringify(changes).slice(0, 60)}`, () => {
+      chai.expect(decodeWith(changes)).to.equal(undefined)
+    })
+  }
+
+  it('name no target when their id cannot be sent in a header', () => {
+    for (const id of ['i\r\nx: y', '\u0107', ' ', 'i'.repeat(2_000)]) chai.expect(targetEntry.decodeTarget({ key: `servers/${id}`, version: 1, value: JSON.stringify(REGISTRATION) })).to.equal(undefined)
+  })
+
+  it('do not make the decoder throw when they are no JSON or nested deeply', () => {
+    for (const value of ['', 'no JSON', '[', '"\\ud800"', '['.repeat(200_000) + ']'.repeat(200_000)]) chai.expect(targetEntry.decodeTarget({ key: 'servers/i-1', version: 1, value })).to.equal(undefined)
+  })
+
+  it('name a target when they have further fields', () => {
+    chai.expect(decodeWith({ address: '10.255.0.1:65535', extra: { a: [1] } })).to.deep.include({ address: '10.255.0.1:65535' })
+  })
+})
+
 describe('requests of callers', () => {
   it('cannot set headers that only the gateway may set, and their key is not forwarded', () => {
     const req = new callerProtocol.HttpCallerProtocol().decode(request({
