Report a request that cannot be encoded as an error instead of throwing at its sender

Callers saw: connections that ended when the process exited, since an exception of undici ("TypeError: Invalid URL" for port 99999 or address 999.1.1.1) reached a timer.

Cause: new undici.Client throws for a malformed address. ConnectionPool.send passed that on, and counted a connection as open that never was. Errors of dispatch were reported before send had returned, so that a sender that uses the request in its error handler could fail.

Ruled out: invalid paths, methods and header values did not throw before (undici reports them to the handler), but did so before send had returned.

Change: a request for a malformed address fails with `written: false`; so does one that cannot be encoded; both after send has returned, and not after an abort. The counter godwitpoint_malformed_target_addresses_total shows the former.

--- a/src/upstream/connection-pool.ts
+++ b/src/upstream/connection-pool.ts
@@ -31,6 +31,7 @@
 
   send (req: types.SendReq, handler: types.ResponseHandler): types.ActiveRequest {
     const conn = this.takeIdle(req.address, req.nonIdempotent) ?? this.connect(req.address)
+    if (conn instanceof Error) return new UnsentRequest(handler, conn)
     return conn.send(req, handler, { onIdle: () => this.addIdle(conn), onLostAfterIdle: (idledMs) => this.noteLoss(conn, idledMs) })
   }
 
@@ -63,10 +64,17 @@
     this.deps.metrics.count('godwitpoint_rested_connections_lost_total')
   }
 
-  private connect (address: string): connection.Connection {
-    this.openCounts.set(address, this.openCount(address) + 1)
-    this.deps.metrics.count('godwitpoint_target_connections_total')
-    return new connection.Connection(address, this.deps.env.clock, (conn) => this.noteClosed(conn))
+  /** A new connection, or the error for an address that is malformed. */
+  private connect (address: string): connection.Connection | Error {
+    try {
+      const conn = new connection.Connection(address, this.deps.env.clock, (closed) => this.noteClosed(closed))
+      this.openCounts.set(address, this.openCount(address) + 1)
+      this.deps.metrics.count('godwitpoint_target_connections_total')
+      return conn
+    } catch (err) {
+      this.deps.metrics.count('godwitpoint_malformed_target_addresses_total')
+      return err instanceof Error ? err : new Error(String(err))
+    }
   }
 
   private addIdle (conn: connection.Connection): void {
@@ -92,3 +100,21 @@
     }
   }
 }
+
+/** A request for which there is no connection; its error is reported after the sender has got it. */
+class UnsentRequest implements types.ActiveRequest {
+  readonly written = false
+  private aborted = false
+
+  constructor (handler: types.ResponseHandler, err: Error) {
+    queueMicrotask(() => { if (!this.aborted) handler.onError({ written: false, message: err.message }) })
+  }
+
+  abort (): void {
+    this.aborted = true
+  }
+
+  pause (): void {}
+
+  resume (): void {}
+}
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -83,11 +83,7 @@
       idempotent: false,
       reset: false
     }
-    try {
-      this.client.dispatch(opts, exchange)
-    } catch (err) {
-      exchange.onResponseError(undefined, err as Error)
-    }
+    exchange.dispatch(this.client, opts)
     return exchange
   }
 
@@ -122,9 +118,22 @@
   private mustClose = false
   private keepAliveMs: number | undefined
   private responseStarted = false
+  private dispatching = false
 
   constructor (private readonly connection: Connection, private readonly handler: types.ResponseHandler, private readonly events: ExchangeEvents, private readonly idledMs: number | undefined) {}
 
+  /** Hands the request to undici, which throws or reports an error at once when it cannot be encoded. */
+  dispatch (client: undici.Client, opts: undici.Dispatcher.DispatchOptions): void {
+    this.dispatching = true
+    try {
+      client.dispatch(opts, this)
+    } catch (err) {
+      this.onResponseError(undefined, err as Error)
+    } finally {
+      this.dispatching = false
+    }
+  }
+
   abort (): void {
     if (this.finished) return
     this.finished = true
@@ -177,6 +186,11 @@
   }
 
   onResponseError (_controller: undici.Dispatcher.DispatchController | undefined, err: Error): void {
+    if (this.dispatching) {
+      // The sender gets the request before its error.
+      queueMicrotask(() => this.onResponseError(undefined, err))
+      return
+    }
     if (this.finished) return
     this.finished = true
     this.connection.close()
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -146,4 +146,34 @@
     using pool = createPool()
     chai.expect(await send(pool, address)).to.include({ kind: 'fail', written: false })
   })
+
+  // An exception reached timers of the caller, where it ended the process.
+  it('reports a request that cannot be written as not written, and does not throw at the caller', async () => {
+    await using server = new ScriptedServer((socket) => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'))
+    using pool = createPool()
+    const address = await server.listen()
+    const req: upstream.SendReq = { address, method: 'GET', path: '/', headers: ['host', 'h'], body: new Uint8Array(0), nonIdempotent: false }
+    const invalid: Array<Partial<upstream.SendReq>> = [
+      { address: '999.1.1.1:80' }, { address: '127.0.0.1:99999' }, { address: 'nowhere' }, { address: '' }, { address: '127.0.0.1:0' },
+      { path: '/a b' }, { path: '/\u0107' }, { path: '/a\r\nx: y' }, { path: 'no-slash' }, { method: 'G T' },
+      { headers: ['x', 'a\r\nb'] }, { headers: ['x', '\u0107'] }, { headers: ['x', 'a\0'] }, { headers: ['a b', 'c'] }, { headers: ['x'] }, { headers: ['transfer-encoding', 'chunked'] }
+    ]
+    for (const changes of invalid) {
+      const result = await new Promise<upstream.SendError | 'response'>((resolve) => {
+        let returned = false
+        const handler = { onHead: () => {}, onData: () => {}, onEnd: () => resolve('response'), onError: (err: upstream.SendError) => { chai.expect(returned, 'returned before it called back').to.equal(true); resolve(err) } }
+        pool.send({ ...req, ...changes }, handler)
+        returned = true
+      })
+      chai.expect(result, JSON.stringify(changes)).to.include({ written: false })
+    }
+    chai.expect(await send(pool, address)).to.include({ kind: 'end' })
+  })
+
+  it('does not call back for a request that cannot be written and was aborted', async () => {
+    using pool = createPool()
+    const unexpected = (): void => { throw new Error('called back') }
+    pool.send({ address: '999.1.1.1:80', method: 'GET', path: '/', headers: [], body: new Uint8Array(0), nonIdempotent: false }, { onHead: unexpected, onData: unexpected, onEnd: unexpected, onError: unexpected }).abort()
+    await new Promise((resolve) => setTimeout(resolve, 20))
+  })
 })
