Do not take a repeated refusal on a kept connection for that of the running call

Callers saw: 503 ("not run, try again") for non-idempotent requests that a target was running, and non-idempotent requests that ran at two targets.

Cause: Attempt.onHead took each response with status 400 or above without an id for the call's own, and checked 421 before the id. A faulty target that writes an earlier refusal once more on a kept connection thereby ended the call as not run, and it was sent to the next target; after a 421 the target also counted as replaced.

Change: a response with another id is never the call's own, whatever its status. One without an id is so only on a connection that carried no request before, where nothing can be repeated (ActiveRequest.reused). Otherwise the attempt failed and may have run, and its connection is closed. The reported load of such a response is ignored.

Cost: a sound target that refuses without an id on a kept connection now fails a non-idempotent call with 502 instead of a retry elsewhere. Targets echo the id, and a target with a new id comes with new connections, so this is expected to be rare.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -163,12 +163,15 @@
 
   onHead (status: number, headers: upstream.ResponseHeaders): void {
     this.noteByte()
-    const { call, state, stream } = this.spec
+    const { state, stream } = this.spec
     const head = this.deps.protocol.decodeHead(status, headers)
     this.responseHead = head
+    if (!this.isOwnResponse(head)) {
+      this.abortWith(this.failure('response does not carry the id of this request', 'malformed'))
+      return
+    }
     if (head.load !== undefined) state.applyReportedLoad(head.load, this.lastByteAt)
     if (head.wrongTarget) this.abortWith({ kind: 'not_run', written: true, message: 'wrong_target' })
-    else if (head.id !== call.id && !(head.id === undefined && status >= 400)) this.abortWith(this.failure('response does not carry the id of this request', 'malformed'))
     else if (head.encoded) this.abortWith(this.failure('response has a content encoding', 'malformed'))
     else if (stream?.reply.started === true && status === 200 && !stream.progress.isContinuedBy(head)) this.abortWith(this.failure('response has another content type than the stream', 'malformed'))
     else this.streaming = stream !== undefined && status === 200
@@ -192,6 +195,13 @@
     else this.settle({ kind: 'not_run', written: false, message: err.message })
   }
 
+  // A target may refuse a request without its id. On a connection that was used before, such a response may also be a
+  // repetition of the one to an earlier request, which tells nothing about this call.
+  private isOwnResponse ({ id, status }: calls.ResponseHead): boolean {
+    if (id !== undefined) return id === this.spec.call.id
+    return status >= 400 && this.activeRequest?.reused !== true
+  }
+
   private relay (chunk: Uint8Array): void {
     const { reply, progress } = this.spec.stream!
     const batch = this.splitter.push(chunk, progress.lastId)
--- a/src/upstream/connection-pool.ts
+++ b/src/upstream/connection-pool.ts
@@ -104,6 +104,7 @@
 /** A request for which there is no connection; its error is reported after the sender has got it. */
 class UnsentRequest implements types.ActiveRequest {
   readonly written = false
+  readonly reused = false
   private aborted = false
 
   constructor (handler: types.ResponseHandler, err: Error) {
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -140,6 +140,10 @@
     this.connection.close()
   }
 
+  get reused (): boolean {
+    return this.idledMs !== undefined
+  }
+
   pause (): void {
     this.controller?.pause()
   }
--- a/src/upstream/types.ts
+++ b/src/upstream/types.ts
@@ -48,6 +48,8 @@
   resume (): void
   /** Whether the request may have reached the target. */
   readonly written: boolean
+  /** Whether the connection carried another request before, so that a faulty target may repeat a response to that one. */
+  readonly reused: boolean
 }
 
 /** Sends requests to targets. */
--- a/test/replay/crashing-segment.test.ts
+++ b/test/replay/crashing-segment.test.ts
@@ -56,7 +56,7 @@
       this.jobs.get(req.address)!.add(handler)
       this.virtual.after(FIRST_EVENT_MS, () => this.begin(req.address, id!, handler, isBad))
     }
-    return { written: true, abort: () => { this.jobs.get(req.address)!.delete(handler) }, pause: () => {}, resume: () => {} }
+    return { written: true, reused: false, abort: () => { this.jobs.get(req.address)!.delete(handler) }, pause: () => {}, resume: () => {} }
   }
 
   private begin (address: string, id: string, handler: upstream.ResponseHandler, isBad: boolean): void {
--- a/test/support/gateway-builders.ts
+++ b/test/support/gateway-builders.ts
@@ -120,6 +120,6 @@
   send (req: upstream.SendReq, handler: upstream.ResponseHandler): upstream.ActiveRequest {
     const recorded: RecordedSend = { req, handler, aborted: false }
     this.sends.push(recorded)
-    return { written: true, abort: () => { recorded.aborted = true }, pause: () => {}, resume: () => {} }
+    return { written: true, reused: false, abort: () => { recorded.aborted = true }, pause: () => {}, resume: () => {} }
   }
 }
--- a/test/support/model-engines.ts
+++ b/test/support/model-engines.ts
@@ -170,7 +170,7 @@
       if (index >= 0) engine.pending.splice(index, 1)
       for (const stream of engine.streams) if (stream.handler === forward) engine.streams.delete(stream)
     }
-    return { written: true, abort, pause: () => {}, resume: () => {} }
+    return { written: true, reused: false, abort, pause: () => {}, resume: () => {} }
   }
 
   private start (engine: ModelEngine, call: calls.Call, plan: calls.SendPlan, handler: upstream.ResponseHandler): void {
