Order no targets while their list settles after a restore of the store

After a restore targets are missing from the list until they have written their records again; the shortage was ordered at once. Placed orders were forgotten with the lease, which a holder gives up on a restore, so each unfilled order was placed twice.

For 2.5 s after this process learns of a restore nothing is ordered or released, and no surplus counts from before. Placed orders are kept when the lease is lost; each of them still lasts no longer than the delivery time and 1.5 s.

Test: test/duties/target-orders.test.ts (two cases), failed before (orders of 4 standard targets 0.4 s after the restore; 6 orders instead of 3), passes now.

--- a/src/duties/target-orders.ts
+++ b/src/duties/target-orders.ts
@@ -28,6 +28,9 @@
 /** Time for which there must be more targets than desired before an order releases the surplus, in ms. */
 const RELEASE_DELAY_MS = 1_500
 
+/** Time after a restore of the store for which nothing is ordered, in ms; the targets write their records again in it. */
+const RESTORE_SETTLE_MS = 2_500
+
 const Sizes = z.record(z.string(), z.int())
 type Sizes = z.infer<typeof Sizes>
 
@@ -56,12 +59,15 @@
   private sizes: Sizes | undefined
   /** Era in which this holder has read or written the stored sizes. */
   private sizesEra: number | undefined
+  private settledAt = 0
   private readonly placedOrders = new Map<string, PlacedOrder>()
   private readonly surplusSince = new Map<string, number>()
   private targetCount = -1
   private targetCountSince = 0
 
-  constructor (private readonly deps: TargetOrdersDeps) {}
+  constructor (private readonly deps: TargetOrdersDeps) {
+    deps.eras.onRestored((era) => this.onRestored(era))
+  }
 
   /** Starts the periodic check. */
   start (): void {
@@ -76,11 +82,11 @@
   private async check (): Promise<void> {
     this.trackTargetCount()
     if (this.deps.lease.stamp() === undefined) {
-      this.placedOrders.clear()
       this.surplusSince.clear()
       this.sizesEra = undefined
       return
     }
+    if (this.deps.env.clock.now() < this.settledAt) return
     const services = [...this.deps.services()].filter((service) => service.orders !== undefined)
     if (services.length === 0) return
     const sizes = await this.confirmedSizes(services)
@@ -88,6 +94,12 @@
     for (const service of services) await this.orderTargets(service, sizes[service.name] ?? 0)
   }
 
+  private onRestored (era: number): void {
+    this.settledAt = this.deps.env.clock.now() + RESTORE_SETTLE_MS
+    this.surplusSince.clear()
+    this.deps.log.info({ era, settle_ms: RESTORE_SETTLE_MS, sizes_known: this.sizes !== undefined }, 'target_orders_paused')
+  }
+
   private trackTargetCount (): void {
     const count = [...this.deps.fleet.all()].length
     if (count === this.targetCount) return
--- a/test/duties/target-orders.test.ts
+++ b/test/duties/target-orders.test.ts
@@ -94,6 +94,35 @@
     chai.expect(scene.store.calls.reads).to.equal(reads)
   })
 
+  it('orders and releases nothing while the targets write their records again after a restore', async () => {
+    const scene = new Scene(100)
+    await scene.startWithSix()
+    scene.restore(scene.store.copy())
+    scene.list([0, 2, 3], [0, 3, 0])
+    await scene.virtual.advance(2_000)
+    scene.list([2, 2, 2], [2, 2, 2])
+    await scene.virtual.advance(490)
+    chai.expect(scene.sent).to.deep.equal([])
+    scene.list([2, 2, 2], [2, 2, 0])
+    await scene.virtual.advance(1_000)
+    chai.expect(scene.ordersOf('e', true)).not.to.deep.equal([])
+  })
+
+  it('does not order a shortage again after a loss of the lease before it can have been filled', async () => {
+    const scene = new Scene(10_000)
+    scene.list([2, 2, 2], [0, 0, 0])
+    await scene.virtual.advance(4_000)
+    chai.expect(scene.sent).to.have.length(3)
+    scene.holdsLease = false
+    scene.restore(scene.store.copy())
+    await scene.virtual.advance(3_000)
+    scene.holdsLease = true
+    await scene.virtual.advance(3_000)
+    chai.expect(scene.sent).to.have.length(3)
+    await scene.virtual.advance(8_000)
+    chai.expect(scene.sent).to.have.length(6)
+  })
+
   it('does not release a surplus on the strength of an earlier one when there was a shortage in between', async () => {
     const scene = new Scene(100)
     await scene.startWithSix()
