--- a/test/duties/usage-finals.test.ts
+++ b/test/duties/usage-finals.test.ts
@@ -40,7 +40,7 @@
     const store = this.store.client(eras)
     const events = this.events
     const logger = { ...log.SILENT_LOGGER, warn: (fields: object, event: string) => { events.push({ event, ...fields }) } } as log.Logger
-    const lease = new duties.Lease({ env, elapsed: new serving.ElapsedClock(virtual), store, holder: name, incarnation: `${name}-1`, takeoverDelayMs: 3_000, contends: () => true, log: log.SILENT_LOGGER })
+    const lease = new duties.Lease({ env, elapsed: new serving.ElapsedClock(virtual), store, eras, holder: name, incarnation: `${name}-1`, takeoverDelayMs: 3_000, contends: () => true, log: log.SILENT_LOGGER })
     const ledger = new duties.UsageLedger({ env, store, eras, name, windowMs: WINDOW_MS, isRelay: () => true, log: log.SILENT_LOGGER })
     const peer = this.peers.join({ address: name, gate } as never)
     const collector = new duties.UsageCollector({ peers: peer, ledger, eras, relayAddresses: () => others, log: logger })
