Do not use final usage counts that a write stored across a restore

The platform could see other counts than those reported before: a write of final counts that was sent before a restore may take effect after it, when the condition holds in the restored store as well, and its counts were then reported.

Cause: the reply was taken for the confirmation of the state that was read before.

A write that is confirmed with a version of a later era is logged, its object is read again and counts as one whose windows are lost: windows that are due are closed only with final counts that a relay knows, and the object is replaced. This costs the reports of the windows that are due until then, in a race of one write's duration.

Test: test/duties/usage-finals.test.ts; before "expected [ [ '{"x":10}' ], [ '{"x":1}' ] ] to deeply equal [ undefined, [ '{"x":1}' ] ]", passes now.

--- a/src/duties/usage-closer.ts
+++ b/src/duties/usage-closer.ts
@@ -53,6 +53,9 @@
   /** Windows of which another relay knows other final counts, which may have been reported: this process reports none. */
   private readonly disputed = new Set<number>()
 
+  /** Version of an object that this process wrote for an earlier era than that in which the write took effect. */
+  private lateVersion: number | undefined
+
   constructor (private readonly deps: UsageCloserDeps) {
     deps.eras.onRestored(() => this.forgetStored())
   }
@@ -90,7 +93,7 @@
     if (object.err) return undefined
     if (object.val === undefined) return { finals: usageFinals.NO_FINALS, version: 'absent', era: this.deps.eras.current ?? 0 }
     const { version } = object.val
-    return { finals: this.decodeOrReplace(object.val), version, era: external.eraOf(version) }
+    return { finals: version === this.lateVersion ? usageFinals.LOST_FINALS : this.decodeOrReplace(object.val), version, era: external.eraOf(version) }
   }
 
   private decodeOrReplace (object: external.StoredObject): usageFinals.StoredFinals {
@@ -159,6 +162,7 @@
     if (this.stored !== stored) return false
     if (JSON.stringify(finals) === JSON.stringify(stored.finals)) return true
     const put = await this.deps.store.put(FINAL_COUNTS_KEY, JSON.stringify(finals), stored.version)
+    if (put.ok && external.eraOf(put.val.version) > stored.era) this.noteLateWrite(put.val.version)
     if (put.err || this.stored !== stored) {
       this.forgetStored()
       return false
@@ -168,6 +172,13 @@
     return true
   }
 
+  // The expected version was of an earlier era, so what the write replaced is not known, and windows may have been closed by others.
+  private noteLateWrite (version: number): void {
+    this.deps.log.warn({ era: external.eraOf(version) }, 'usage_finals_written_late')
+    this.lateVersion = version
+    this.forgetStored()
+  }
+
   // The other relays are told first: the store may lose the final counts, and this process may end.
   private async reportWindows (lastDue: number): Promise<void> {
     const { stored } = this
--- a/test/duties/usage-finals.test.ts
+++ b/test/duties/usage-finals.test.ts
@@ -201,6 +201,26 @@
     await virtual.advance(TAKEOVER_MS)
     chai.expect(reports.get(window)).to.deep.equal(['{"x":10}'])
   })
+  it('does not report counts that a write stored only because the store was restored after it was sent', async () => {
+    const fixture = new Fixture()
+    const { virtual, store, reports } = fixture
+    const a = fixture.start('a', [])
+    await virtual.advance(1_500)
+    const copy = store.copy()
+    const { put } = store
+    // The write expects that there is no object yet; it takes effect in the restored store, in which that holds too.
+    store.put = async (key, value, expected) => {
+      if (key === duties.FINAL_COUNTS_KEY && store.era === 0) store.restore(copy)
+      return await put.call(store, key, value, expected)
+    }
+    const window = await fixture.endWindow([[a.ledger, 10]])
+    await virtual.advance(REPORT_MS)
+    chai.expect(store.era).to.equal(1)
+    await virtual.advance(TAKEOVER_MS)
+    const next = await fixture.endWindow([[a.ledger, 1]])
+    await virtual.advance(REPORT_MS)
+    chai.expect([reports.get(window), reports.get(next)]).to.deep.equal([undefined, ['{"x":1}']])
+  })
 })
 
 describe('UsageCloser with a malformed object of final counts', () => {
