Do not count a started gateway as gone when the link to its earlier process ends

A restarted gateway was not recommended by others for seconds, or for good, when the list of a restored store showed earlier incarnations to both sides.

Cause: the first reply of the new process ends the link to the earlier one, and that marked the gateway as down, whichever incarnation was known by then. When both sides did so, neither called again. The end of a link now changes only the incarnation of that link. Ruled out: the registrations, which were written again within 0.5 s.

Evidence: test/directory/directory.test.ts; before, "a after b" recommended c, d and itself only, now all four.

--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -272,7 +272,7 @@
   private end (state: LinkState): void {
     if (this.links.get(state.link.gateway) !== state) return
     this.links.delete(state.link.gateway)
-    this.deps.roster.lose(state.link.gateway, state.beat)
+    this.deps.roster.lose(state.link, state.beat)
     for (const topic of this.deps.topics) topic.linkEnded(state.link)
   }
 
--- a/src/exchange/roster.ts
+++ b/src/exchange/roster.ts
@@ -102,9 +102,9 @@
   }
 
   /** Notes that the link to a gateway has ended: what it last said of itself no longer holds. */
-  lose (name: string, beat: number): void {
-    const entry = this.entries.get(name)
-    if (entry !== undefined && entry.source === OWN && entry.told.beat <= beat) this.note({ ...entry.told, up: false, ready: false }, OWN, entry.fromAbove)
+  lose ({ gateway, incarnation }: types.Link, beat: number): void {
+    const entry = this.entries.get(gateway)
+    if (entry !== undefined && entry.told.record.incarnation === incarnation && entry.source === OWN && entry.told.beat <= beat) this.note({ ...entry.told, up: false, ready: false }, OWN, entry.fromAbove)
   }
 
   /** Gateways that may be called as relays. */
--- a/test/directory/directory.test.ts
+++ b/test/directory/directory.test.ts
@@ -235,4 +235,19 @@
     await region.virtual.advance(6_000)
     chai.expect(c.directory.addresses()).to.have.members(['a:1', 'b:1', 'c:1'])
   })
+
+  it('recommends gateways that were started again one after the other although the copy lists their earlier incarnations', async () => {
+    const region = new regions.Region()
+    const names = ['a', 'b', 'c', 'd']
+    for (const name of names) region.start(name)
+    await region.virtual.advance(5_000)
+    const copy = region.store.copy()
+    for (const name of names) {
+      region.kill(name)
+      region.store.restore(copy)
+      region.start(name, `${name}-2`)
+      await region.virtual.advance(1_500)
+      for (const gateway of region.gateways.values()) chai.expect(gateway.directory.addresses(), `${gateway.name} after ${name}`).to.have.members(names.map((each) => `${each}:1`))
+    }
+  })
 })
