Do not take the older configuration of a restored store for a confirmation of a newer one

A gateway that started right after a restore accepted keys by the configuration that the others told it, although nobody had confirmed that one since the store was lost: a key that was withdrawn in the lost seconds could work for up to revokeMs longer.

Cause: the read of the older configuration counted as the age of the newer one. When another gateway tells a newer configuration that the store has lost, earlier confirmations are forgotten, and the age that the other one tells counts.

Evidence: test/serving/config-feed-exchange.test.ts; before, "expected 50 to be at least 3000". Sound already, and now tested: a fellow, relay or member that starts right after a restore, two restores in a row with gateways that are cut off from the store, a relay that is still in the earlier era, a new version within the bound, and keys confirmed again once the operators have written their configuration again.

--- a/src/serving/config-feed.ts
+++ b/src/serving/config-feed.ts
@@ -116,8 +116,11 @@
     if (era !== undefined) this.deps.eras.note(era)
     if (link.kind === 'relay') this.relayNumber = number
     if (version > this.storeVersion || number > this.number) {
+      // What the store confirmed before was the older configuration of its copy.
+      const isLost = version < this.storeVersion
       if (text === undefined) this.refreshSoon()
       if (text === undefined || !this.applyObject({ key: this.deps.key, version, value: text })) return false
+      if (isLost) this.freshness.reset()
     }
     if (version === this.storeVersion && sentAt !== undefined) this.freshness.confirm(sentAt - ageMs)
     return true
--- a/src/serving/freshness.ts
+++ b/src/serving/freshness.ts
@@ -20,6 +20,11 @@
     this.confirmedAtMs = Math.max(this.confirmedAtMs, readStartedAt)
   }
 
+  /** Forgets all confirmations: they were of another copy. */
+  reset (): void {
+    this.confirmedAtMs = -Infinity
+  }
+
   /** Time up to which the copy is known to have been current, in ms on the clock; minus infinity before. */
   get confirmedAt (): number {
     return this.confirmedAtMs
