Do not reread the store for a lost configuration that is too large to be told

After a restore each gateway that lacked a configuration above 48 KiB read the store at every message of another one, ten times a second for each link, until the operators wrote it again; and a gateway that was told an older one did the same.

Cause: a version that cannot be told causes a read at once, which after a restore gives the older one again. It is now read once for each version and then at the read interval; an older configuration that is told causes no read.

--- a/src/serving/config-feed.ts
+++ b/src/serving/config-feed.ts
@@ -63,6 +63,10 @@
   private relayNumber = Infinity
   /** Store version of an older configuration that was ignored last. */
   private ignoredVersion = 0
+  /** Version that another gateway uses and that was last read for, and when. */
+  private toldVersion = 0
+  private toldReadAt = -Infinity
+  private readonly intervalMs: number
   private readonly poller: time.Poller
   private failing = false
   private readonly listeners: Array<(config: serving.ServingConfig) => void> = []
@@ -70,6 +74,7 @@
   constructor (private readonly deps: ConfigFeedDeps) {
     this.freshness = new freshness.Freshness(deps.elapsed)
     const intervalMs = READ_INTERVAL_SHARE * deps.propagationMs
+    this.intervalMs = intervalMs
     this.poller = new time.Poller({
       timers: deps.env.timers,
       intervalMs,
@@ -115,10 +120,14 @@
     const { version, number, ageMs, text, era } = ConfigState.parse(payload)
     if (era !== undefined) this.deps.eras.note(era)
     if (link.kind === 'relay') this.relayNumber = number
+    if (number < this.number) {
+      this.noteIgnored(version, number)
+      return true
+    }
     if (version > this.storeVersion || number > this.number) {
       // What the store confirmed before was the older configuration of its copy.
       const isLost = version < this.storeVersion
-      if (text === undefined) this.refreshSoon()
+      if (text === undefined) this.readTold(version)
       if (text === undefined || !this.applyObject({ key: this.deps.key, version, value: text })) return false
       if (isLost) this.freshness.reset()
     }
@@ -161,6 +170,15 @@
     return this.table?.config.version ?? -Infinity
   }
 
+  // The store may have lost what another gateway uses: it is read once for each version, and then at the interval.
+  private readTold (version: number): void {
+    const now = this.deps.env.clock.now()
+    if (version === this.toldVersion && now - this.toldReadAt < this.intervalMs) return
+    this.toldVersion = version
+    this.toldReadAt = now
+    this.refreshSoon()
+  }
+
   private refreshSoon (): void {
     this.refresh().catch((err: unknown) => this.deps.log.error({ err }, 'config_read_failed'))
   }
--- a/test/serving/config-feed-exchange.test.ts
+++ b/test/serving/config-feed-exchange.test.ts
@@ -12,6 +12,9 @@
 const KEY = 'config/main'
 const PROPAGATION_MS = 2_000
 
+/** More than a relay passes on. */
+const LARGE = ' '.repeat(60 * 1024)
+
 async function regionWith (count: number): Promise<{ region: regions.Region, gateways: regions.RegionGateway[] }> {
   const region = new regions.Region()
   await region.write(regions.CONFIG_KEY, '1')
@@ -131,4 +134,30 @@
     }
     chai.expect(member.current()!.config.version).to.equal(2)
   })
+
+  it('does not read the store without pause while a relay uses a configuration that is too large to pass on and was lost', async () => {
+    const { virtual, store, start, write } = setUpFeed()
+    await write(`1${LARGE}`)
+    const copy = store.copy()
+    const relay = start(true, new external.StoreEras())
+    await write(`2${LARGE}`)
+    await virtual.advance(2_000)
+    store.restore(copy)
+    await virtual.advance(1_000)
+    const feeds = [start(false, new external.StoreEras()), start(true, new external.StoreEras())]
+    await virtual.advance(50)
+    const { reads } = store.calls
+    for (let ms = 0; ms < 9_000; ms += 100) {
+      await virtual.advance(100)
+      for (const feed of feeds) {
+        feed.apply(link(feed === feeds[0] ? 'relay' : 'fellow'), relay.changesSince(link('fellow'), undefined)!.payload, virtual.now())
+        relay.apply(link('member'), feed.changesSince(link('fellow'), undefined)!.payload, undefined)
+      }
+    }
+    // 10 reads of each of three feeds in 9 s at the interval, and as many that the messages cause at the two that lack it.
+    chai.expect(store.calls.reads - reads).to.be.at.most(55)
+    await write(`2${LARGE}`)
+    await virtual.advance(PROPAGATION_MS)
+    for (const feed of feeds) chai.expect(feed.current()!.config.version).to.equal(2)
+  })
 })
