Keep reported final usage counts when a relay knows others

The platform could see other counts than those reported before: a lease holder that knew unreported final counts of a window did not give way to different ones in the store that were marked as reported.

Cause: of two counts of one window the first that became known stayed.

Reported counts replace unreported ones, and a window of which the store has other counts than those known is not reported by this holder.

Test: test/duties/usage-finals.test.ts; before "expected [ [ '{"x":12}' ], [ '{"x":2}' ] ] to deeply equal [ undefined, [ '{"x":2}' ] ]", passes now.

--- a/src/duties/usage-closer.ts
+++ b/src/duties/usage-closer.ts
@@ -50,7 +50,7 @@
   private task: Disposable | undefined
   private stored: ReadFinals | undefined
   private lastClosed: number | undefined
-  /** Windows of which another relay knows other final counts, which may have been reported: this process reports none. */
+  /** Windows of which the store or another relay has other final counts, which may have been reported: this process reports none. */
   private readonly disputed = new Set<number>()
 
   /** Version of an object that this process wrote for an earlier era than that in which the write took effect. */
@@ -114,7 +114,7 @@
     for (const object of list.val) this.addStoredCounts(object, lastDue, merged)
     for (const counts of await collector.collect()) mergeCounts(merged, counts)
     const totals = sumByWindow(Object.values(merged))
-    collector.finals.add(stored.finals.windows)
+    for (const window of collector.finals.add(stored.finals.windows)) this.disputed.add(window)
     const windows = collector.finals.after(lastDue - usageFinals.ABANDON_AFTER_WINDOWS)
     const missing = Object.keys(windows).filter((window) => stored.finals.windows[window] === undefined)
     if (missing.length > 0) this.deps.log.info({ windows: missing }, 'usage_finals_rewritten')
--- a/src/duties/usage-finals.ts
+++ b/src/duties/usage-finals.ts
@@ -52,7 +52,7 @@
   readonly log: log.Logger
 }
 
-/** Final counts that were stored or reported; for each window the first counts that became known. */
+/** Final counts that were stored or reported; for each window the reported counts, else the first that became known. */
 export class KnownFinals {
   private readonly finals = new Map<number, FinalCounts[string]>()
   private latestBound: RestoreBound | undefined
@@ -72,7 +72,10 @@
     if (latest === undefined || bound.era > latest.era || (bound.era === latest.era && bound.lastDue < latest.lastDue)) this.latestBound = bound
   }
 
-  /** Adds final counts; for a window that is known already, only that it was reported. Returns the windows whose known counts differ. */
+  /**
+   * Adds final counts; of two of one window the reported ones stay, else those known first. Returns the windows whose known
+   * counts differ.
+   */
   add (finalCounts: FinalCounts): number[] {
     const current = this.deps.currentWindow()
     const differing: number[] = []
@@ -80,8 +83,9 @@
       const window = Number(key)
       if (!Number.isInteger(window) || window > current) continue
       const known = this.finals.get(window)
-      if (known !== undefined && !hasSameCounts(known.counts, counts)) differing.push(window)
-      else this.finals.set(window, { counts, reported: reported || known?.reported === true })
+      const differs = known !== undefined && !hasSameCounts(known.counts, counts)
+      if (differs) differing.push(window)
+      if (!differs || (reported && !known.reported)) this.finals.set(window, { counts, reported: reported || known?.reported === true })
     }
     if (differing.length > 0) this.deps.log.warn({ windows: differing }, 'usage_finals_differ')
     for (const window of this.finals.keys()) {
--- a/test/duties/usage-finals.test.ts
+++ b/test/duties/usage-finals.test.ts
@@ -221,6 +221,20 @@
     await virtual.advance(REPORT_MS)
     chai.expect([reports.get(window), reports.get(next)]).to.deep.equal([undefined, ['{"x":1}']])
   })
+  it('does not report counts of a window that a relay knows when the store has others that were reported', async () => {
+    const fixture = new Fixture()
+    const { virtual, store, reports } = fixture
+    const a = fixture.start('a', [])
+    await virtual.advance(1_500)
+    const window = await fixture.endWindow([[a.ledger, 10]])
+    a.collector.finals.add({ [window]: { counts: { x: 12 }, reported: false } })
+    await Promise.all([store.put(duties.FINAL_COUNTS_KEY, JSON.stringify({ [window]: { counts: { x: 10 }, reported: true } }), 'absent'), virtual.advance(10)])
+    await virtual.advance(REPORT_MS)
+    const next = await fixture.endWindow([[a.ledger, 2]])
+    await virtual.advance(REPORT_MS)
+    chai.expect([reports.get(window), reports.get(next)]).to.deep.equal([undefined, ['{"x":2}']])
+    chai.expect(store.peek(duties.FINAL_COUNTS_KEY)?.value).to.contain(`"${window}":{"counts":{"x":10},"reported":true}`)
+  })
 })
 
 describe('UsageCloser with a malformed object of final counts', () => {
