--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -104,6 +104,8 @@
   readonly wrongTarget: boolean
   /** Whether the body has a content encoding, although no caller requests one. */
   readonly encoded: boolean
+  /** Whether the target reports that it is leaving; absent means false. */
+  readonly leaving?: boolean | undefined
   /** Absent when the target reported none, or it cannot be decoded. */
   readonly load?: ReportedLoad | undefined
   /** Headers for the caller: alternating names and values. */
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -88,6 +88,13 @@
     this.deps.onRemoved(state.record.address)
   }
 
+  /** Notes that a target reported in a response that it is leaving: it gets no further calls, whatever the list says of it. */
+  noteLeaving (state: targetState.TargetState): void {
+    if (state.record.leaving) return
+    state.record = { ...state.record, leaving: true }
+    this.deps.log.info({ target: state.record.id, service: state.record.service, reported: true }, 'target_leaving')
+  }
+
   private update (record: serving.TargetRecord): void {
     const state = this.targets.get(record.id)
     // A record of an earlier incarnation that was written late.
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -33,6 +33,7 @@
 
 /** Dependencies of an attempt. */
 export interface AttemptDeps {
+  readonly fleet: fleet.Fleet
   readonly env: time.Env
   readonly upstream: upstream.Upstream
   readonly protocol: calls.TargetProtocol
@@ -167,6 +168,7 @@
     const head = this.deps.protocol.decodeHead(status, headers)
     this.responseHead = head
     if (head.load !== undefined) state.applyReportedLoad(head.load, this.lastByteAt)
+    if (head.leaving === true && head.id === call.id) this.deps.fleet.noteLeaving(state)
     if (head.wrongTarget) this.abortWith({ kind: 'not_run', written: true, message: 'wrong_target' })
     else if (head.id !== call.id && !(head.id === undefined && status >= 400)) this.abortWith(this.failure('response does not carry the id of this request', 'malformed'))
     else if (head.encoded) this.abortWith(this.failure('response has a content encoding', 'malformed'))
--- a/test/support/forwarder-fixture.ts
+++ b/test/support/forwarder-fixture.ts
@@ -60,7 +60,7 @@
   const reply = new build.RecordedReply()
   const callerLeft = new AbortController()
   let outcome: errors.Refusal | undefined | 'open' = 'open'
-  const start = (call: calls.Call): void => { forwarder.forward(call, reply, callerLeft.signal).then((refusal) => { outcome = refusal }, (err: unknown) => { throw err }) }
+  const start = (call: calls.Call, to: calls.Reply = reply): void => { forwarder.forward(call, to, callerLeft.signal).then((refusal) => { outcome = refusal }, (err: unknown) => { throw err }) }
   return { virtual, upstream, fleet, segments, counters, budget, lines, dropped, reply, callerLeft, executed, start, outcome: () => outcome }
 }
 
