Send a target no requests for as long as its rejection asks for

The target's state bars placements, requests that wait for a connection, returns to a silent target and polls of its cache until then, for ten minutes at the most, so that a malformed response cannot bar a target for good.

Test: test/forward/target-reports.test.ts; two of its cases failed before, and fail without the rule.

--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -106,6 +106,8 @@
   readonly encoded: boolean
   /** Whether the target reports that it is leaving; absent means false. */
   readonly leaving?: boolean | undefined
+  /** Time for which the target, which rejects the request, wants no further one from this gateway, in ms; absent for none. */
+  readonly retryAfterMs?: number | undefined
   /** Absent when the target reported none, or it cannot be decoded. */
   readonly load?: ReportedLoad | undefined
   /** Headers for the caller: alternating names and values. */
--- a/src/fleet/cache-feed.ts
+++ b/src/fleet/cache-feed.ts
@@ -78,7 +78,7 @@
   private followTargets (): void {
     for (const state of this.deps.fleet.all()) {
       if (this.initialPolls >= MAX_INITIAL_POLLS) return
-      if (state.record.stage !== undefined && !state.followed && this.followersOf(state).includes(this.deps.selfName)) this.startFollowing(state)
+      if (state.record.stage !== undefined && !state.followed && !state.isBarred(this.deps.env.clock.now()) && this.followersOf(state).includes(this.deps.selfName)) this.startFollowing(state)
     }
   }
 
@@ -97,6 +97,11 @@
       state.followed = false
       return
     }
+    const refusedMs = state.refusesForMs(this.deps.env.clock.now())
+    if (refusedMs > 0) {
+      this.deps.env.timers.after(refusedMs, () => this.pollTarget(state, position))
+      return
+    }
     this.fetchChanges(state, position.since, LONG_POLL_MS, RESPONSE_GRACE_MS).then(
       (batch) => this.applyAndSchedule(state, batch, position),
       (err: unknown) => this.deps.log.error({ err, target: state.record.id }, 'cache_feed_failed')
--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -10,6 +10,9 @@
 /** Age up to which a load that the target reported counts, in ms. */
 const REPORTED_LOAD_LIFE_MS = 1_000
 
+/** Longest time for which a target may refuse requests, in ms; bounds what a malformed response can do. */
+const MAX_REFUSAL_MS = 600_000
+
 /** What a target shares with others of the fleet. */
 export interface FleetKnowledge {
   /** Load that other gateways report. */
@@ -31,6 +34,8 @@
   pendingPrefillTokens = 0
   /** This gateway's calls in flight. */
   running = 0
+  /** Until when the target wants no requests from this gateway, in ms on the monotonic clock. */
+  private refusesUntil = -Infinity
   private byteAt = -Infinity
   /** When a KV transfer from this target last failed, in ms on the monotonic clock. */
   kvTransferFailedAt = -Infinity
@@ -61,7 +66,22 @@
 
   /** Whether new calls may be sent to the target. */
   acceptsCalls (now: number): boolean {
-    return !this.hasLeft(now) && this.failures.isUsable(now)
+    return !this.isBarred(now) && this.failures.isUsable(now)
+  }
+
+  /** Whether no request may reach the target: it has left, or it wants none for a while. */
+  isBarred (now: number): boolean {
+    return this.hasLeft(now) || now < this.refusesUntil
+  }
+
+  /** Time for which the target wants no requests from this gateway, in ms; 0 or less when it takes them. */
+  refusesForMs (now: number): number {
+    return this.refusesUntil - now
+  }
+
+  /** Notes that the target wants no requests from this gateway for `ms`. */
+  noteRefusal (ms: number, now: number): void {
+    this.refusesUntil = Math.max(this.refusesUntil, now + Math.min(ms, MAX_REFUSAL_MS))
   }
 
   /** Whether the target has left or is leaving, as far as is known. */
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -154,10 +154,10 @@
     else this.abortWith(this.failure('response stalled', 'response_stalled'))
   }
 
-  // The target may have left while the request waited for a connection.
+  // The target may have left, or turned requests away, while this one waited for a connection.
   mayWrite (): boolean {
     const now = this.deps.env.clock.now()
-    if (this.spec.state.hasLeft(now)) return false
+    if (this.spec.state.isBarred(now)) return false
     this.writeMs = Math.round(now - this.sentAt)
     return true
   }
@@ -168,7 +168,7 @@
     const head = this.deps.protocol.decodeHead(status, headers)
     this.responseHead = head
     if (head.load !== undefined) state.applyReportedLoad(head.load, this.lastByteAt)
-    if (head.leaving === true && head.id === call.id) this.deps.fleet.noteLeaving(state)
+    if (head.id === call.id) this.noteTargetReport(head)
     if (head.wrongTarget) this.abortWith({ kind: 'not_run', written: true, message: 'wrong_target' })
     else if (head.id !== call.id && !(head.id === undefined && status >= 400)) this.abortWith(this.failure('response does not carry the id of this request', 'malformed'))
     else if (head.encoded) this.abortWith(this.failure('response has a content encoding', 'malformed'))
@@ -194,6 +194,12 @@
     else this.settle({ kind: 'not_run', written: false, message: err.message })
   }
 
+  private noteTargetReport ({ leaving, retryAfterMs }: calls.ResponseHead): void {
+    const { state } = this.spec
+    if (leaving === true) this.deps.fleet.noteLeaving(state)
+    if (retryAfterMs !== undefined) state.noteRefusal(retryAfterMs, this.lastByteAt)
+  }
+
   private relay (chunk: Uint8Array): void {
     const { reply, progress } = this.spec.stream!
     const batch = this.splitter.push(chunk, progress.lastId)
--- a/src/forward/sent-targets.ts
+++ b/src/forward/sent-targets.ts
@@ -56,11 +56,11 @@
     this.replaced.push(choice)
   }
 
-  /** Takes the last replaced placement whose targets have not left, also while they are paused; each can be taken once. */
+  /** Takes the last replaced placement whose targets take requests, also while they are paused; each can be taken once. */
   takeReplaced (now: number): placement.Placement | undefined {
     for (let choice = this.replaced.pop(); choice !== undefined; choice = this.replaced.pop()) {
       const { target, prefillTarget, fetchFrom } = choice
-      if (![target, prefillTarget, fetchFrom].some((state) => state?.hasLeft(now))) return choice
+      if (![target, prefillTarget, fetchFrom].some((state) => state?.isBarred(now))) return choice
     }
     return undefined
   }
--- a/test/forward/target-reports.test.ts
+++ b/test/forward/target-reports.test.ts
@@ -16,6 +16,11 @@
   return build.aCall({ arrivedAt: virtual.now(), deadlineAt: virtual.now() + 5_000 })
 }
 
+/** Whether calls may be sent to a target now. */
+function accepts ({ fleet, virtual }: fixtures.ForwarderFixture, id: string): boolean {
+  return [...fleet.all()].find((state) => state.record.id === id)!.acceptsCalls(virtual.now())
+}
+
 /** Sends calls one after the other; returns the ids of their targets. */
 async function sendCalls (fixture: fixtures.ForwarderFixture, count: number): Promise<string[]> {
   const before = fixture.upstream.sends.length
@@ -69,3 +74,59 @@
     chai.expect([...fixture.fleet.all()].some((state) => state.record.leaving)).to.equal(false)
   })
 })
+
+// A target that is full turns requests away for a while; each one that arrives meanwhile costs it more.
+describe('a target that rejects a request and says for how long it wants none', () => {
+  /** A call to two targets, whose first one answers with these headers. */
+  async function reject (retryAfter: string) {
+    const fixture = setUp({ targets: TARGETS })
+    fixture.start(build.aCall())
+    const [refusing] = targetsOf(fixture)
+    respond(fixture.upstream.sends[0]!, 503, '', { 'not-executed': '1', 'retry-after': retryAfter })
+    await fixture.virtual.advance(1)
+    respond(fixture.upstream.sends[1]!, 200, 'ok')
+    await fixture.virtual.advance(1)
+    return { fixture, refusing }
+  }
+
+  it('gets no call during that time, and calls again after it', async () => {
+    const { fixture, refusing } = await reject('2.5')
+    const during: string[] = []
+    while (fixture.virtual.now() < 2_450) {
+      during.push(...await sendCalls(fixture, 1))
+      await fixture.virtual.advance(45)
+    }
+    chai.expect(during).to.have.length.greaterThan(40)
+    chai.expect(during).not.to.include(refusing)
+    chai.expect(accepts(fixture, refusing!)).to.equal(false)
+    await fixture.virtual.advance(100)
+    chai.expect(accepts(fixture, refusing!)).to.equal(true)
+  })
+
+  it('gets no call during that time either when it is the only one that is left', async () => {
+    const { fixture, refusing } = await reject('3')
+    fixture.fleet.apply(TARGETS.filter((target) => target.id === refusing))
+    const sent = fixture.upstream.sends.length
+    const reply = new build.RecordedReply()
+    fixture.start(aLaterCall(fixture), reply)
+    await fixture.virtual.advance(100)
+    chai.expect(fixture.upstream.sends).to.have.length(sent)
+    chai.expect(reply.started).to.equal(false)
+  })
+
+  it('gets no request that has waited for a connection to it', async () => {
+    const fixture = setUp({ targets: TARGETS })
+    for (let count = 0; count < 4; count++) fixture.start(build.aCall(), new build.RecordedReply())
+    const waiting = fixture.upstream.sends.slice(1).find((send) => send.req.address === fixture.upstream.sends[0]!.req.address)!
+    respond(fixture.upstream.sends[0]!, 503, '', { 'not-executed': '1', 'retry-after': '1' })
+    chai.expect(waiting.handler.mayWrite!()).to.equal(false)
+  })
+
+  for (const malformed of ['', '-1', 'soon', 'Wed, 21 Oct 2026 07:28:00 GMT', '1e9']) {
+    it(`gets calls again soon after a malformed time ("${malformed}")`, async () => {
+      const { fixture, refusing } = await reject(malformed)
+      await fixture.virtual.advance(300)
+      chai.expect(accepts(fixture, refusing!)).to.equal(true)
+    })
+  }
+})
