--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -104,6 +104,10 @@
   readonly wrongTarget: boolean
   /** Whether the body has a content encoding, although no caller requests one. */
   readonly encoded: boolean
+  /** Whether the target reports that it is leaving; absent means false. */
+  readonly leaving?: boolean | undefined
+  /** Time for which the target, which rejects the request, wants no further one from this gateway, in ms; absent for none. */
+  readonly retryAfterMs?: number | undefined
   /** Absent when the target reported none, or it cannot be decoded. */
   readonly load?: ReportedLoad | undefined
   /** Headers for the caller: alternating names and values. */
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -33,6 +33,7 @@
 
 /** Dependencies of an attempt. */
 export interface AttemptDeps {
+  readonly fleet: fleet.Fleet
   readonly env: time.Env
   readonly upstream: upstream.Upstream
   readonly protocol: calls.TargetProtocol
@@ -153,10 +154,10 @@
     else this.abortWith(this.failure('response stalled', 'response_stalled'))
   }
 
-  // The target may have left while the request waited for a connection.
+  // The target may have left, or turned requests away, while this one waited for a connection.
   mayWrite (): boolean {
     const now = this.deps.env.clock.now()
-    if (this.spec.state.hasLeft(now)) return false
+    if (this.spec.state.isBarred(now)) return false
     this.writeMs = Math.round(now - this.sentAt)
     return true
   }
@@ -171,6 +172,7 @@
       return
     }
     if (head.load !== undefined) state.applyReportedLoad(head.load, this.lastByteAt)
+    if (!head.wrongTarget) this.noteTargetReport(head)
     if (head.wrongTarget) this.abortWith({ kind: 'not_run', written: true, message: 'wrong_target' })
     else if (head.encoded) this.abortWith(this.failure('response has a content encoding', 'malformed'))
     else if (stream?.reply.started === true && status === 200 && !stream.progress.isContinuedBy(head)) this.abortWith(this.failure('response has another content type than the stream', 'malformed'))
@@ -195,6 +197,12 @@
     else this.settle({ kind: 'not_run', written: false, message: err.message })
   }
 
+  private noteTargetReport ({ leaving, retryAfterMs }: calls.ResponseHead): void {
+    const { state } = this.spec
+    if (leaving === true) this.deps.fleet.noteLeaving(state)
+    if (retryAfterMs !== undefined) state.noteRefusal(retryAfterMs, this.lastByteAt)
+  }
+
   // A target may refuse a request without its id. On a connection that was used before, such a response may also be a
   // repetition of the one to an earlier request, which tells nothing about this call.
   private isOwnResponse ({ id, status }: calls.ResponseHead): boolean {
