--- a/src/duties/usage-closer.ts
+++ b/src/duties/usage-closer.ts
@@ -112,7 +112,9 @@
     if (list.err || stored === undefined) return
     const merged: usageCounts.ProcessCounts = {}
     for (const object of list.val) this.addStoredCounts(object, lastDue, merged)
-    for (const counts of await collector.collect()) mergeCounts(merged, counts)
+    const collected = await collector.collect()
+    for (const counts of collected.counts) mergeCounts(merged, counts)
+    for (const window of collected.differing) this.disputed.add(window)
     const totals = sumByWindow(Object.values(merged))
     for (const window of collector.finals.add(stored.finals.windows)) this.disputed.add(window)
     const windows = collector.finals.after(lastDue - usageFinals.ABANDON_AFTER_WINDOWS)
--- a/src/duties/usage-collector.ts
+++ b/src/duties/usage-collector.ts
@@ -32,6 +32,12 @@
   readonly log: log.Logger
 }
 
+/** Counts of all processes, and the windows of which relays know different final counts. */
+export interface CollectedUsage {
+  readonly counts: readonly usageCounts.ProcessCounts[]
+  readonly differing: ReadonlySet<number>
+}
+
 /** Gives the counts that this process knows to the lease holder, and collects all counts when this process is the holder. */
 export class UsageCollector {
   /** Final counts that this process knows. */
@@ -46,17 +52,18 @@
   }
 
   /** Returns the counts that this process and all relays that reply know; adds the final counts that they know. */
-  async collect (): Promise<usageCounts.ProcessCounts[]> {
+  async collect (): Promise<CollectedUsage> {
     const replies = await this.callRelays(HELD_METHOD, {})
-    const collected = [this.deps.ledger.allCounts]
+    const counts = [this.deps.ledger.allCounts]
+    const differing = new Set<number>()
     for (const reply of replies) {
       const parsed = reply.ok ? HeldRes.safeParse(reply.val) : undefined
       if (parsed?.success !== true) continue
-      collected.push(parsed.data.processes)
-      this.finals.add(parsed.data.finals)
+      counts.push(parsed.data.processes)
+      for (const window of this.finals.add(parsed.data.finals)) differing.add(window)
       if (parsed.data.restored !== undefined) this.finals.addBound(parsed.data.restored)
     }
-    return collected
+    return { counts, differing }
   }
 
   /** Tells the other relays final counts before they are reported. Returns the windows of which one knows other counts. */
--- a/test/exchange/exchange.test.ts
+++ b/test/exchange/exchange.test.ts
@@ -306,7 +306,7 @@
     const [relay] = relaysOf(gateways)
     const collecting = relay!.collector.collect()
     await region.virtual.advance(500)
-    const collected = await collecting
+    const { counts: collected } = await collecting
     const counted = collected.flatMap((counts) => Object.values(counts[`${member.name}.${member.name}-1`] ?? {})).map((accounts) => accounts.acc)
     chai.expect(counted).to.include(5)
   })
--- a/test/platform/store-era.test.ts
+++ b/test/platform/store-era.test.ts
@@ -80,4 +80,21 @@
       chai.expect((await store.get('config/main')).unwrap()!.version).to.equal(7)
     })
   })
+
+  it('does not take a first response without an era for one before a restore', async () => {
+    await withStore([{ body: object(7) }, { era: '3', body: object(9) }], async (store, eras) => {
+      const restored: number[] = []
+      eras.onRestored((era) => restored.push(era))
+      await store.get('config/main')
+      chai.expect((await store.get('config/main')).ok).to.equal(true)
+      chai.expect([eras.current, restored]).to.deep.equal([3, []])
+    })
+  })
+
+  it('does not use a response without an era once the store has told one: it may be older than a restore', async () => {
+    await withStore([{ era: '1', body: object(85) }, { body: object(103) }], async (store) => {
+      await store.get('config/main')
+      chai.expect((await store.get('config/main')).ok).to.equal(false)
+    })
+  })
 })
