review/1: short chunks without end in a failed response end the process

A response that is not streamed is kept chunk by chunk and bounded by its bytes only. A model server that answers with status 500 and small chunks without end fills the heap of the gateway in under 2 s; the process aborts, and its callers lose their connections without an answer (LOST).

--- a/review/standins/model-server.mjs
+++ b/review/standins/model-server.mjs
@@ -2,9 +2,12 @@
 import * as net from 'node:net'
 import * as server from './server.mjs'
 
-const EVENTS = 5
+const EVENTS = 12
 const EVENT_MS = 25
 
+/** Bytes of a body without end that are written at a time when no rate is set. */
+const BURST_BYTES = 256 * 1024
+
 const HEAD_END = '\r\n\r\n'
 
 function chunk (text) {
@@ -16,9 +19,9 @@
   answers = 0
   endless = 0
 
-  /** `note` gets events as text; `endlessBody` is asked for each request and gives the unit of a body without end, or undefined. */
-  constructor (id, { slots, note, endlessBody }) {
-    Object.assign(this, { id, slots, note, endlessBody })
+  /** `note` gets events as text; `onRequest` the id of each request and whether its answer is spoilt; `endlessBody` is asked for each request and gives the unit of a body without end, or undefined. */
+  constructor (id, { slots, note, endlessBody, onRequest = () => {} }) {
+    Object.assign(this, { id, slots, note, endlessBody, onRequest })
     this.server = net.createServer((socket) => this.accept(socket))
   }
 
@@ -53,7 +56,9 @@
   stream (socket, id) {
     this.answers++
     const unit = this.endlessBody(this)
-    socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Stamp: ${this.id}.${id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked${HEAD_END}`)
+    this.onRequest(id, unit !== undefined)
+    const statusLine = unit?.statusLine ?? '200 OK'
+    socket.write(`HTTP/1.1 ${statusLine}\r\nRequest-Id: ${id}\r\nResponse-Stamp: ${this.id}.${id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked${HEAD_END}`)
     if (unit !== undefined) this.writeWithoutEnd(socket, id, unit)
     else this.writeEvents(socket, 1)
   }
@@ -77,11 +82,11 @@
     const timer = setInterval(() => {
       const now = Date.now()
       if (socket.writableNeedDrain) { last = now; return }
-      const count = (now - last) * linesPerMs
+      const count = linesPerMs === undefined ? Math.ceil(BURST_BYTES / chunk(text).length) : (now - last) * linesPerMs
       last = now
       lines += count
       if (count > 0) socket.write(chunk(text).repeat(count))
-    }, 5)
+    }, linesPerMs === undefined ? 1 : 5)
     socket.on('close', () => {
       clearInterval(timer)
       this.note(`${this.id}: the caller of ${id} has closed after ${lines} lines`)
--- a/review/standins/resolving-client.mjs
+++ b/review/standins/resolving-client.mjs
@@ -32,13 +32,23 @@
     }
   }
 
-  /** Sends one request; resolves to its answer, the port that it was sent to, and when it was sent and answered. */
-  async send (req, giveUpMs) {
+  /** Asks again where to connect when the last answer is too old. */
+  async refresh () {
     if (Date.now() - this.resolvedAt > this.ttlMs) await this.resolve()
+  }
+
+  /** One of the addresses at random, of those that have not failed lately if there are any. */
+  pick () {
     const now = Date.now()
     const usable = this.addresses.filter((address) => now - (this.failedAt.get(address) ?? -Infinity) > FAILED_MS)
     const from = usable.length > 0 ? usable : this.addresses
-    const address = from[Math.floor(Math.random() * from.length)]
+    return from[Math.floor(Math.random() * from.length)]
+  }
+
+  /** Sends one request; resolves to its answer, the port that it was sent to, and when it was sent and answered. */
+  async send (req, giveUpMs) {
+    await this.refresh()
+    const address = this.pick()
     if (address === undefined) return undefined
     const port = Number(address.split(':')[1])
     const sentAt = Date.now()
