review/4: a head with status 000 stops a gateway for 5 s

The HTTP client fails an assertion on it, and Node makes the error's text by parsing the program's file, which the bundle joins into very long lines.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -90,7 +90,7 @@
   note(`TWICE: ${twice.map(([id]) => id).join(', ') || 'none'}`)
   exitCode = refusedButRan.length + twice.length > 0 ? 1 : 0
 } catch (err) {
-  note(`could not run: ${err.stack}`)
+  note(`could not run: ${err.message}`)
 } finally {
   await first?.end()
   await second?.end()
--- a/review/standins/gateway.mjs
+++ b/review/standins/gateway.mjs
@@ -43,13 +43,36 @@
 
 const READY_TIMEOUT_MS = 20_000
 
-/** A free port of the loopback address. */
-export async function freePort () {
+/** Processes that run; they end with this one. */
+const children = new Set()
+process.on('exit', () => { for (const child of children) child.kill('SIGKILL') })
+process.on('SIGTERM', () => process.exit(2))
+
+/** Ports below those that the system gives to outgoing connections. */
+const FIRST_PORT = 20_000
+const LAST_PORT = 32_000
+
+/** Ports that were given out already. */
+const givenPorts = new Set()
+
+async function isFree (port) {
   const server = net.createServer()
-  await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address()
-  await new Promise((resolve) => server.close(resolve))
-  return port
+  const free = await new Promise((resolve) => {
+    server.once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => resolve(true))
+  })
+  if (free) await new Promise((resolve) => server.close(resolve))
+  return free
+}
+
+/** A free port of the loopback address. */
+async function freePort () {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT))
+    if (givenPorts.has(port)) continue
+    givenPorts.add(port)
+    if (await isFree(port)) return port
+  }
 }
 
 /** The program and the arguments of the gateway role in the deploy file. */
@@ -110,10 +133,12 @@
     this.child = childProcess.spawn(program === 'node' ? process.execPath : program, ownArgs, { cwd: ROOT, env: { PATH, HOME, LANG, GODWITPOINT_NODE_FILE: this.settingsPath }, stdio: ['ignore', 'pipe', 'pipe'] })
     this.exited = false
     const { child } = this
+    children.add(child)
     const keep = (data) => this.lines.push(...data.toString().split('\n').filter((line) => line !== ''))
     child.stdout.on('data', keep)
     child.stderr.on('data', keep)
     child.once('exit', (code, signal) => {
+      children.delete(child)
       this.exited = true
       this.exit = String(signal ?? code)
     })
--- a/review/standins/model-server.mjs
+++ b/review/standins/model-server.mjs
@@ -19,7 +19,7 @@
   answers = 0
   endless = 0
 
-  /** `note` gets events as text; `onRequest` the id of each request and whether its answer is spoilt; `endlessBody` is asked for each request and gives the unit of a body without end, or undefined. */
+  /** `note` gets events as text; `onRequest` its own id, that of each request, and whether the answer is spoilt; `endlessBody` is asked for each request and gives the unit of a body without end, or undefined. */
   constructor (id, { slots, note, endlessBody, onRequest = () => {} }) {
     Object.assign(this, { id, slots, note, endlessBody, onRequest })
     this.server = net.createServer((socket) => this.accept(socket))
@@ -56,13 +56,24 @@
   stream (socket, id) {
     this.answers++
     const unit = this.endlessBody(this)
-    this.onRequest(id, unit !== undefined)
+    this.onRequest(this.id, id, unit !== undefined)
+    if (unit?.head !== undefined) {
+      this.spoil(socket, id, unit.head)
+      return
+    }
     const statusLine = unit?.statusLine ?? '200 OK'
     socket.write(`HTTP/1.1 ${statusLine}\r\nRequest-Id: ${id}\r\nResponse-Stamp: ${this.id}.${id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked${HEAD_END}`)
     if (unit !== undefined) this.writeWithoutEnd(socket, id, unit)
     else this.writeEvents(socket, 1)
   }
 
+  /** Writes one head that is no response, and nothing else. */
+  spoil (socket, id, head) {
+    this.endless++
+    this.note(`${this.id} answers ${id} with ${JSON.stringify(head(id))}`)
+    socket.write(head(id))
+  }
+
   writeEvents (socket, number) {
     if (socket.destroyed) return
     if (number > EVENTS) {
