Collect pieces of a body in bounded blocks: endless short chunks end no process

Cause: each piece of a response was kept as a view of the read that it came with, about 105 bytes of heap for each piece, so the limit of 16 MiB bytes did not limit the memory. Ruled out: a limit that is not checked (it is). The same shape: bodies of callers, cache changes of engines, responses of the store and the duty API, the clients of the product's own entry, the operator client and the stand-ins.

Change: src/bytes has one collector that copies pieces into blocks, a budget over many requests, and readAll; all of these use it. Responses of all calls together get 64 MiB; beyond that only those up to 64 KiB are still buffered.

--- a/src/external/http-client.ts
+++ b/src/external/http-client.ts
@@ -1,6 +1,7 @@
 /** HTTP client of the platform. */
 import * as undici from 'undici'
 import * as z from 'zod'
+import * as bytes from '../bytes/index.js'
 import { Err, Ok, type Result } from '../errors/index.js'
 import type {
   ExpectedVersion, ObjectStore, OrderedTarget, OrderError, Platform, ReportError, StoredObject, StoreError, TargetOrder, TargetOrdering,
@@ -14,6 +15,9 @@
 /** Added to the wait of a watch for its timeout, in ms. */
 const WATCH_SLACK_MS = 2_000
 
+/** Largest response, in bytes: a list of some thousand objects. */
+const MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+
 /** Errors after which the request was certainly not sent. */
 const CONNECT_ERROR_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
@@ -66,7 +70,7 @@
         headersTimeout: timeoutMs,
         bodyTimeout: timeoutMs
       })
-      const text = await res.body.text()
+      const text = (await bytes.readAll(res.body, MAX_RESPONSE_BYTES)).toString('utf8')
       return Ok({ status: res.statusCode, body: text === '' ? {} : JSON.parse(text) as unknown })
     } catch (err) {
       const code = String((err as { code?: unknown }).code ?? '')
--- a/src/fleet/cache-feed.ts
+++ b/src/fleet/cache-feed.ts
@@ -1,4 +1,5 @@
 /** Polls engines for changes of the prompt segments in their KV caches. */
+import * as bytes from '../bytes/index.js'
 import type * as calls from '../call/index.js'
 import * as hash from '../hash/index.js'
 import type * as log from '../log/index.js'
@@ -148,8 +149,7 @@
   /** The body of a complete response with status 200; undefined for any other outcome. */
   private async fetchBody (address: string, req: calls.CacheQuery, timeoutMs: number): Promise<Uint8Array | undefined> {
     return await new Promise((resolve) => {
-      const chunks: Uint8Array[] = []
-      let bytes = 0
+      const collector = new bytes.ByteCollector(MAX_RESPONSE_BYTES)
       let ok = false
       const timer = this.deps.env.timers.after(timeoutMs, () => { request.abort(); resolve(undefined) })
       const settle = (body: Uint8Array | undefined): void => {
@@ -159,10 +159,11 @@
       const request = this.deps.upstream.send({ address, ...req, body: new Uint8Array(0), nonIdempotent: false }, {
         onHead: (status) => { ok = status === 200 },
         onData: (chunk) => {
-          bytes += chunk.length
-          if (bytes <= MAX_RESPONSE_BYTES) chunks.push(chunk)
+          if (collector.add(chunk)) return
+          request.abort()
+          settle(undefined)
         },
-        onEnd: () => settle(ok && bytes <= MAX_RESPONSE_BYTES ? Buffer.concat(chunks) : undefined),
+        onEnd: () => settle(ok ? collector.take() : undefined),
         onError: () => settle(undefined)
       })
     })
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,4 +1,5 @@
 /** One attempt: a call sent to one target, and its response. */
+import * as bytes from '../bytes/index.js'
 import type * as calls from '../call/index.js'
 import type * as fleet from '../fleet/index.js'
 import type * as time from '../time/index.js'
@@ -10,6 +11,9 @@
 /** Largest response that is buffered until it is complete, in bytes. */
 const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
 
+/** Size up to which a response is buffered when the memory for responses is full, in bytes: a few endless ones must not fail all others. */
+const MAX_SMALL_RESPONSE_BYTES = 64 * 1024
+
 /** Interval at which a stalled attempt is reported again, in ms; meanwhile another target may have become usable. */
 const STALL_REPORT_INTERVAL_MS = 250
 
@@ -37,6 +41,8 @@
   readonly env: time.Env
   readonly upstream: upstream.Upstream
   readonly protocol: calls.TargetProtocol
+  /** Bytes of the responses that are being buffered. */
+  readonly responseMemory: bytes.ByteBudget
   /** Called when the call is known to execute: at its first event, or at its response. */
   readonly onExecution: (call: calls.Call) => void
 }
@@ -73,8 +79,7 @@
   private activeRequest: upstream.ActiveRequest | undefined
   private responseHead: calls.ResponseHead | undefined
   private streaming = false
-  private readonly chunks: Uint8Array[] = []
-  private bufferedBytes = 0
+  private readonly body: bytes.ByteCollector
   private lastByteAt: number
   /** Tokens of this attempt in the prefill backlog; -1 once they are removed from it. */
   private prefillTokens: number
@@ -88,6 +93,7 @@
   private readonly splitter = new eventSplitter.EventSplitter()
 
   constructor (private readonly deps: AttemptDeps, private readonly spec: AttemptSpec) {
+    this.body = new bytes.ByteCollector(MAX_BUFFERED_RESPONSE_BYTES, deps.responseMemory)
     this.sentAt = deps.env.clock.now()
     this.lastByteAt = this.sentAt
     this.prefillTokens = spec.prefillTokens
@@ -111,6 +117,7 @@
       })
     } finally {
       this.stallTimer?.[Symbol.dispose]()
+      this.body[Symbol.dispose]()
       this.endPrefill()
       state.running--
     }
@@ -234,9 +241,8 @@
   }
 
   private bufferChunk (chunk: Uint8Array): void {
-    this.chunks.push(chunk)
-    this.bufferedBytes += chunk.length
-    if (this.bufferedBytes > MAX_BUFFERED_RESPONSE_BYTES) this.abortWith(this.failure('response exceeds the size limit', 'malformed'))
+    if (!this.body.add(chunk)) this.abortWith(this.failure('response exceeds the size limit', 'malformed'))
+    else if (this.deps.responseMemory.isFull && this.body.length > MAX_SMALL_RESPONSE_BYTES) this.abortWith(this.failure('no memory for a response of this size', 'malformed'))
   }
 
   private endStream (): void {
@@ -270,7 +276,7 @@
       return
     }
     if (this.spec.plan.prefillOnly !== true) this.deps.onExecution(this.spec.call)
-    this.settle({ kind: 'answered', head, body: this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks) })
+    this.settle({ kind: 'answered', head, body: this.body.take() })
   }
 
   private noteFirstEvent (): void {
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -1,4 +1,5 @@
 /** Forwards calls: chooses targets, retries within the budget, and delivers one response. */
+import * as bytes from '../bytes/index.js'
 import type * as calls from '../call/index.js'
 import * as errors from '../errors/index.js'
 import type * as fleet from '../fleet/index.js'
@@ -17,12 +18,15 @@
 /** Least time in which a target can respond, in ms; with less left before the deadline nothing is sent. */
 const MIN_SEND_MS = 15
 
+/** Bytes of all responses that are being buffered beyond which only small ones still are. */
+const MAX_BUFFERED_RESPONSES_BYTES = 64 * 1024 * 1024
+
 /** Range of the retry-after of a refusal, in ms; the value is random so that callers do not retry at the same time. */
 const RETRY_AFTER_MIN_MS = 150
 const RETRY_AFTER_MAX_MS = 500
 
 /** Dependencies of a forwarder. */
-export interface ForwarderDeps extends attempt.AttemptDeps, attemptRecorder.RecorderDeps {
+export interface ForwarderDeps extends Omit<attempt.AttemptDeps, 'responseMemory'>, attemptRecorder.RecorderDeps {
   readonly placerFor: (call: calls.Call) => placement.Placer
   readonly budgetFor: (service: string) => retry.SharedRetryBudget
   readonly quarantine: Pick<quarantine.SegmentQuarantine, 'admit' | 'waitMs' | 'isBarred' | 'returnTrials' | 'noteLost' | 'noteAnswered'>
@@ -34,11 +38,13 @@
 
 /** Forwards each call until its response has ended. */
 export class Forwarder {
+  private readonly responseMemory = new bytes.ByteBudget(MAX_BUFFERED_RESPONSES_BYTES)
+
   constructor (private readonly deps: ForwarderDeps) {}
 
   /** Delivers a response, or returns the refusal; `signal` is aborted when the caller has disconnected. */
   async forward (call: calls.Call, reply: calls.Reply, signal: AbortSignal): Promise<errors.Refusal | undefined> {
-    return await new ForwardedCall(this.deps, call, reply, signal).run()
+    return await new ForwardedCall({ ...this.deps, responseMemory: this.responseMemory }, call, reply, signal).run()
   }
 }
 
@@ -47,6 +53,8 @@
   constructor (readonly reason: errors.Refusal | errors.RefusalReason, readonly lateMs = 0) {}
 }
 
+type CallDeps = ForwarderDeps & attempt.AttemptDeps
+
 /** State of one call over all its attempts. */
 class ForwardedCall {
   private readonly triedTargets = new Set<string>()
@@ -68,7 +76,7 @@
   /** Whether a prefill has succeeded; the first one that does is not counted as an attempt. */
   private prefillAccepted = false
 
-  constructor (private readonly deps: ForwarderDeps, private readonly call: calls.Call, private readonly reply: calls.Reply, private readonly signal: AbortSignal) {
+  constructor (private readonly deps: CallDeps, private readonly call: calls.Call, private readonly reply: calls.Reply, private readonly signal: AbortSignal) {
     this.progress = new streamProgress.StreamProgress(call, deps.metrics)
     this.times = new callTimes.CallTimes(call, deps.metrics)
     this.recorder = new attemptRecorder.AttemptRecorder(deps, call, this.progress)
--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -1,5 +1,6 @@
 /** HTTP server for callers. */
 import * as http from 'node:http'
+import * as bytes from '../bytes/index.js'
 import * as errors from '../errors/index.js'
 import type * as log from '../log/index.js'
 import type * as metrics from '../metrics/index.js'
@@ -56,7 +57,7 @@
   private readonly policy: connectionPolicy.ConnectionPolicy
   private closing = false
   private active = 0
-  private readonly bodyMemory = new requestBody.BodyMemory(MAX_ACTIVE_BODY_BYTES)
+  private readonly bodyMemory = new bytes.ByteBudget(MAX_ACTIVE_BODY_BYTES)
   private readonly lingering = new WeakSet<http.ServerResponse>()
   private unfinished = 0
 
--- a/src/gateway/request-body.ts
+++ b/src/gateway/request-body.ts
@@ -1,5 +1,6 @@
 /** Reads the bodies of requests within the limits on size, time and memory. */
 import type * as http from 'node:http'
+import * as bytes from '../bytes/index.js'
 import * as errors from '../errors/index.js'
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
@@ -7,37 +8,15 @@
 /** Retry-after of a request that was refused for overload, in ms. */
 const OVERLOAD_RETRY_AFTER_MS = 300
 
-/** Bytes of all bodies that are held, also of those that are still arriving. */
-export class BodyMemory {
-  private bytes = 0
-
-  constructor (private readonly maxBytes: number) {}
-
-  /** Bytes held now. */
-  get heldBytes (): number {
-    return this.bytes
-  }
-
-  get isFull (): boolean {
-    return this.bytes > this.maxBytes
-  }
-
-  take (bytes: number): void {
-    this.bytes += bytes
-  }
-
-  release (bytes: number): void {
-    this.bytes -= bytes
-  }
-}
-
 /** The body of one request; counts in the memory until it is disposed. */
 export class RequestBody implements Disposable {
-  private chunks: Buffer[] = []
-  private bytes = 0
+  private readonly collector: bytes.ByteCollector
+  private heldBytes = 0
   private timer: Disposable | undefined
 
-  constructor (private readonly memory: BodyMemory, private readonly timers: time.Timers, private readonly limits: serving.CallerLimits) {}
+  constructor (private readonly memory: bytes.ByteBudget, private readonly timers: time.Timers, private readonly limits: serving.CallerLimits) {
+    this.collector = new bytes.ByteCollector(limits.bodyBytes)
+  }
 
   /** The body; a refusal when it is too large, stalls or finds no memory; undefined when the caller disconnected. */
   async read (req: http.IncomingMessage, res: http.ServerResponse): Promise<Uint8Array | errors.Refusal | undefined> {
@@ -60,32 +39,25 @@
         const refusal = this.add(chunk)
         if (refusal !== undefined) settle(refusal)
       })
-      req.on('end', () => settle(this.takeChunks()))
+      req.on('end', () => settle(this.collector.take()))
       req.on('error', () => settle(undefined))
       res.on('close', () => settle(undefined))
     })
   }
 
   [Symbol.dispose] (): void {
-    this.memory.release(this.bytes)
-    this.bytes = 0
-    this.chunks = []
+    this.memory.release(this.heldBytes)
+    this.heldBytes = 0
+    this.collector[Symbol.dispose]()
   }
 
   private add (chunk: Buffer): errors.Refusal | undefined {
-    this.chunks.push(chunk)
-    this.bytes += chunk.length
+    if (!this.collector.add(chunk)) return tooLarge()
+    this.heldBytes += chunk.length
     this.memory.take(chunk.length)
-    if (this.bytes > this.limits.bodyBytes) return tooLarge()
     return this.memory.isFull ? overloaded() : undefined
   }
 
-  private takeChunks (): Uint8Array {
-    const { chunks } = this
-    this.chunks = []
-    return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)
-  }
-
   private startIdleTimer (settle: (refusal: errors.Refusal) => void): void {
     this.timer?.[Symbol.dispose]()
     this.timer = this.timers.after(this.limits.idleTimeoutMs, () => settle(new errors.Refusal('request_too_slow', { step: 'parse', ran: 'no' })))
--- a/src/index.ts
+++ b/src/index.ts
@@ -1,5 +1,6 @@
 /** The modules of godwitpoint, as a library. */
 export * as admission from './admission/index.js'
+export * as bytes from './bytes/index.js'
 export * as call from './call/index.js'
 export * as claims from './claims/index.js'
 export * as config from './config/index.js'
--- a/src/operator/http-client.ts
+++ b/src/operator/http-client.ts
@@ -1,6 +1,7 @@
 /** Client of the operator interface of entries. */
 import * as undici from 'undici'
 import * as z from 'zod'
+import * as bytes from '../bytes/index.js'
 import { Err, Ok, StepError, type Result } from '../errors/index.js'
 import { EntryReport } from '../report/index.js'
 import type { WithdrawalOutcome } from './types.js'
@@ -8,6 +9,9 @@
 /** Time allowed for one call, in ms. */
 const CALL_TIMEOUT_MS = 5_000
 
+/** Largest response, in bytes. */
+const MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+
 const WithdrawalRes = z.object({ stored: z.boolean(), confirmed: z.array(z.string()), unconfirmed: z.array(z.string()) })
 
 /** Calls the operator interface of one entry; `address` is the `ip:port` of its operator listener. */
@@ -34,7 +38,7 @@
         headersTimeout: CALL_TIMEOUT_MS,
         bodyTimeout: CALL_TIMEOUT_MS
       })
-      const body = await res.body.json()
+      const body: unknown = JSON.parse((await bytes.readAll(res.body, MAX_RESPONSE_BYTES)).toString('utf8'))
       if (res.statusCode >= 300) return Err(new StepError('report', this.address, `status ${res.statusCode} for ${method} ${path}`))
       return Ok(schema.parse(body))
     } catch (err) {
--- a/src/standin/http-common.ts
+++ b/src/standin/http-common.ts
@@ -1,6 +1,7 @@
 /** Helpers of the stand-in HTTP servers. */
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import * as bytes from '../bytes/index.js'
 
 /** Largest accepted request body, in bytes. */
 const MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -42,14 +43,7 @@
 
 /** Reads a complete request body; throws when it is larger than the limit. */
 export async function readBody (req: http.IncomingMessage): Promise<Uint8Array> {
-  const chunks: Buffer[] = []
-  let size = 0
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    size += chunk.length
-    if (size > MAX_BODY_BYTES) throw new Error('body too large')
-    chunks.push(chunk)
-  }
-  return Buffer.concat(chunks)
+  return await bytes.readAll(req, MAX_BODY_BYTES)
 }
 
 /** Reads and parses a JSON request body. */
--- a/src/target-clients/http-engine.ts
+++ b/src/target-clients/http-engine.ts
@@ -1,6 +1,7 @@
 /** HTTP client for model engines. */
 import * as undici from 'undici'
 import * as z from 'zod'
+import * as bytes from '../bytes/index.js'
 import { Err, Ok, type Result } from '../errors/index.js'
 import { CacheEvent, EngineState, LoadReport, Piece, type EngineOrder } from '../schema/index.js'
 import type { ConnectionPools } from './connection-pools.js'
@@ -14,6 +15,9 @@
 /** Timeout of a short call, in ms. */
 const SHORT_CALL_TIMEOUT_MS = 1_000
 
+/** Largest response of a short call, in bytes. */
+const MAX_TEXT_BYTES = 4 * 1024 * 1024
+
 const StreamEnd = z.object({ prompt_tokens: z.number(), cached_tokens: z.number(), output_tokens: z.number() })
 const StreamEvent = z.union([Piece, z.object({ end: StreamEnd })])
 const CacheEventsRes = z.object({ events: z.array(CacheEvent), next: z.int() })
@@ -65,7 +69,7 @@
         headersTimeout: STALL_TIMEOUT_MS,
         bodyTimeout: STALL_TIMEOUT_MS
       })
-      if (res.statusCode !== 200) return Err(statusError(res.statusCode, await res.body.text(), this.url))
+      if (res.statusCode !== 200) return Err(statusError(res.statusCode, await readText(res.body), this.url))
       return await this.readStream(res.body, sink, signal)
     } catch (err) {
       return Err(this.handleFailure(err, dispatcher))
@@ -103,7 +107,7 @@
         headersTimeout: SHORT_CALL_TIMEOUT_MS,
         bodyTimeout: SHORT_CALL_TIMEOUT_MS
       })
-      const text = await res.body.text()
+      const text = await readText(res.body)
       if (res.statusCode !== 200) return Err(statusError(res.statusCode, text, this.url))
       return Ok(schema.parse(JSON.parse(text)))
     } catch (err) {
@@ -112,6 +116,10 @@
   }
 }
 
+async function readText (body: AsyncIterable<Uint8Array>): Promise<string> {
+  return (await bytes.readAll(body, MAX_TEXT_BYTES)).toString('utf8')
+}
+
 function toWire (req: GenerateReq): object {
   const { id, model, prompt, maxTokens, priority, seed, from, kv } = req
   return { request_id: id, model, prompt, max_tokens: maxTokens, priority, seed, from, kv, stream: true }
--- a/src/target-clients/http-plain.ts
+++ b/src/target-clients/http-plain.ts
@@ -1,5 +1,6 @@
 /** HTTP client for plain services. */
 import * as undici from 'undici'
+import * as bytes from '../bytes/index.js'
 import { Err, Ok, type Result } from '../errors/index.js'
 import type { ConnectionPools } from './connection-pools.js'
 import { statusError, toTargetError } from './http-errors.js'
@@ -28,7 +29,7 @@
         headers: { 'content-type': req.contentType, 'x-request-id': req.id },
         body: req.body.length === 0 ? null : req.body
       })
-      const body = await readBounded(res.body)
+      const body = await bytes.readAll(res.body, MAX_RESPONSE_BYTES)
       if (res.statusCode === NOT_EXECUTED_STATUS) {
         const err = statusError(res.statusCode, new TextDecoder().decode(body), this.url)
         if (err.ran === 'no') return Err(err)
@@ -39,14 +40,3 @@
     }
   }
 }
-
-async function readBounded (body: AsyncIterable<Uint8Array>): Promise<Uint8Array> {
-  const chunks: Uint8Array[] = []
-  let size = 0
-  for await (const chunk of body) {
-    size += chunk.length
-    if (size > MAX_RESPONSE_BYTES) throw new Error('answer too large')
-    chunks.push(chunk)
-  }
-  return Buffer.concat(chunks)
-}
--- a/test/gateway/request-body.test.ts
+++ b/test/gateway/request-body.test.ts
@@ -1,9 +1,11 @@
 import * as http from 'node:http'
 import type * as net from 'node:net'
 import * as chai from 'chai'
+import * as bytes from '../../src/bytes/index.js'
 import * as errors from '../../src/errors/index.js'
 import * as requestBody from '../../src/gateway/request-body.js'
 import * as time from '../../src/time/index.js'
+import * as memory from '../support/memory.js'
 import * as support from '../support/gateway-process.js'
 import * as raw from '../support/raw-caller.js'
 
@@ -15,13 +17,13 @@
 
 /** A server that reads one body and keeps it until disposed; `outcome` is set when the body was read. */
 class BodyServer implements AsyncDisposable {
-  readonly memory: requestBody.BodyMemory
+  readonly memory: bytes.ByteBudget
   readonly outcomes: string[] = []
   port = 0
   private readonly server: http.Server
 
   constructor (maxBytes: number, limits = LIMITS) {
-    this.memory = new requestBody.BodyMemory(maxBytes)
+    this.memory = new bytes.ByteBudget(maxBytes)
     this.server = http.createServer((req, res) => {
       const body = new requestBody.RequestBody(this.memory, new time.SystemTimers(), limits)
       body.read(req, res).then((outcome) => { this.outcomes.push(outcome instanceof errors.Refusal ? outcome.reason : String(outcome?.length)) }, (err: unknown) => { this.outcomes.push(String(err)) })
@@ -67,6 +69,21 @@
     chai.expect(server.memory.heldBytes).to.equal(10)
   })
 
+  // Chunks of two bytes were kept one by one, and a body below the limit ended the process at its heap limit.
+  it('a body in short chunks needs memory for its bytes, not for its chunks', async () => {
+    const bodyBytes = 512 * 1024
+    await using server = new BodyServer(bodyBytes, { ...LIMITS, bodyBytes, idleTimeoutMs: 5_000 })
+    await server.listen()
+    using caller = new raw.RawCaller(server.port)
+    const before = memory.usedHeapBytes()
+    caller.send(raw.requestHead('r1', ['Transfer-Encoding: chunked']))
+    for (let sent = 0; sent < bodyBytes; sent += 8_192) caller.send('2\r\nxx\r\n'.repeat(4_096))
+    while (server.memory.heldBytes < bodyBytes) await delay(5)
+    chai.expect(memory.usedHeapBytes() - before).to.be.lessThan(8 * bodyBytes)
+    caller.send('0\r\n\r\n')
+    chai.expect(await server.outcome(1)).to.deep.equal([String(bodyBytes)])
+  })
+
   it('a refusal reaches a caller that reads it only after it has sent its body', async () => {
     await using gw = new support.GatewayProcess()
     await gw.start()
