--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -17,6 +17,10 @@
 /** Largest response header block accepted from a target, in bytes. */
 const MAX_HEADER_BYTES = 64 * 1024
 
+/** Lowest status of HTTP, and lowest status of a response that is not interim. */
+const MIN_STATUS = 100
+const MIN_FINAL_STATUS = 200
+
 /** A connection that carries one request at a time; it is closed on any error. */
 export class Connection {
   private readonly client: undici.Client
@@ -163,9 +167,11 @@
     this.written = true
   }
 
-  onResponseStart (_controller: undici.Dispatcher.DispatchController, status: number, headers: types.ResponseHeaders): void {
+  onResponseStart (controller: undici.Dispatcher.DispatchController, status: number, headers: types.ResponseHeaders): void {
     this.responseStarted = true
-    if (this.finished || status < 200) return
+    // undici accepts such a head and fails an assertion at the end of its message.
+    if (status < MIN_STATUS) controller.abort(new Error(`malformed status ${status}`))
+    if (this.finished || status < MIN_FINAL_STATUS) return
     this.mustClose = /\bclose\b/i.test(joinValues(headers.connection) ?? '')
     this.connection.closeDelimited = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
     this.keepAliveMs = parseKeepAliveMs(joinValues(headers['keep-alive']))
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -37,6 +37,7 @@
   readonly kind: 'end' | 'fail'
   readonly body: string
   readonly written: boolean
+  readonly message?: string
 }
 
 async function send (pool: upstream.ConnectionPool, address: string, nonIdempotent = false): Promise<Outcome> {
@@ -46,7 +47,7 @@
       onHead: () => {},
       onData: (chunk) => { body += Buffer.from(chunk).toString() },
       onEnd: () => resolve({ kind: 'end', body, written: true }),
-      onError: (err) => resolve({ kind: 'fail', body, written: err.written })
+      onError: (err) => resolve({ kind: 'fail', body, written: err.written, message: err.message })
     })
   })
 }
@@ -74,6 +75,15 @@
     for (let attempt = 0; attempt < 20; attempt++) chai.expect((await send(pool, address)).kind).to.equal('fail')
   })
 
+  // The HTTP client accepted such a head and failed an assertion afterwards, whose message took the bundled program 5 s to make.
+  it('treats a head with a status below 100 as a malformed response', async () => {
+    for (const status of ['000', '099']) {
+      await using server = new ScriptedServer((socket) => socket.write(`HTTP/1.1 ${status} OK\r\ncontent-length: 3\r\n\r\nabc`))
+      using pool = createPool()
+      chai.expect(await send(pool, await server.listen())).to.include({ kind: 'fail', body: '', message: `malformed status ${Number(status)}` })
+    }
+  })
+
   it('treats the end of the connection as the end of a response without a length', async () => {
     await using server = new ScriptedServer((socket) => socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nwhole'))
     using pool = createPool()
