Send no two attempts of a call on one connection

Cause: a response was taken for that of an attempt by the id of the call. The late second copy of a target's first refusal, on the connection that the call used again, bears the same id. Ruled out: responses from other connections.

Change: a call keeps the connections of its attempts, and the pool gives a further attempt another one, so that a response with the id of the call is that of the attempt. Prefills and resumed streams are covered.

Tests: test/gateway/repeated-refusal.test.ts, test/upstream/connection-pool.test.ts

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -63,6 +63,8 @@
   readonly stall: stallTimeouts.StallTimeouts
   /** Whether no other target may work on the call at the same time, from the start; a stream that has begun is exclusive too. */
   readonly exclusive: boolean
+  /** Connections of all attempts of the call. */
+  readonly usedConnections: upstream.UsedConnections
   readonly events: AttemptEvents
 }
 
@@ -106,7 +108,7 @@
 
   /** Runs the attempt until the response has ended, failed or was aborted. */
   async run (): Promise<AttemptResult> {
-    const { call, plan, state } = this.spec
+    const { call, plan, state, usedConnections } = this.spec
     state.running++
     state.pendingPrefillTokens += this.prefillTokens
     if (call.prompt !== undefined && plan.kvSource === undefined) state.cache.addPending(call.prompt)
@@ -116,7 +118,7 @@
         this.watchSilence()
         const headers = this.deps.protocol.encodeHeaders(call, plan)
         const nonIdempotent = call.route.idempotency === 'non_idempotent'
-        this.activeRequest = this.deps.upstream.send({ address: state.record.address, method: call.method, path: call.path, headers, body: call.body, nonIdempotent }, this)
+        this.activeRequest = this.deps.upstream.send({ address: state.record.address, method: call.method, path: call.path, headers, body: call.body, nonIdempotent, usedConnections }, this)
         if (this.finish === undefined) this.activeRequest.abort()
       })
     } finally {
@@ -215,6 +217,7 @@
     if (retryAfterMs !== undefined) state.noteRefusal(retryAfterMs, this.lastByteAt)
   }
 
+  // No connection carries two attempts of a call, so a response with the id of the call is that to this attempt.
   // A target may refuse a request without its id. On a connection that was used before, such a response may also be a
   // repetition of the one to an earlier request, which tells nothing about this call.
   private isOwnResponse ({ id, status }: calls.ResponseHead): boolean {
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -6,6 +6,7 @@
 import type * as placement from '../placement/index.js'
 import type * as quarantine from '../quarantine/index.js'
 import type * as retry from '../retry/index.js'
+import * as upstream from '../upstream/index.js'
 import * as attempt from './attempt.js'
 import * as attemptRace from './attempt-race.js'
 import * as attemptRecorder from './attempt-recorder.js'
@@ -69,6 +70,7 @@
   private readonly race: attemptRace.AttemptRace
   /** Attempts whose request may have reached a target; they count against the retry budget and the route's `maxTargets`. */
   private readonly sent: sentTargets.SentTargets
+  private readonly usedConnections = new upstream.UsedConnections()
   private mayHaveExecuted = false
   private endedBy: 'deadline' | 'caller_left' | undefined
   private lastResponse: { head: calls.ResponseHead, body: Uint8Array } | undefined
@@ -328,6 +330,7 @@
       prefillTokens,
       stall: stallTimeouts.stallTimeouts(call, choice.expectedMs, prefillOnly),
       exclusive: progress.lastId !== undefined || choice.prefillTarget !== undefined,
+      usedConnections: this.usedConnections,
       events: {
         onTargetSilent: () => this.recorder.noteTargetSilent(state, sentAt),
         onStalled: () => this.race.noteStalled(run),
--- a/src/upstream/connection-pool.ts
+++ b/src/upstream/connection-pool.ts
@@ -30,8 +30,9 @@
   }
 
   send (req: types.SendReq, handler: types.ResponseHandler): types.ActiveRequest {
-    const conn = this.takeIdle(req.address, req.nonIdempotent) ?? this.connect(req.address)
+    const conn = this.takeIdle(req) ?? this.connect(req.address)
     if (conn instanceof Error) return new UnsentRequest(handler, conn)
+    req.usedConnections?.add(conn)
     return conn.send(req, handler, { onIdle: () => this.addIdle(conn), onLostAfterIdle: (idledMs) => this.noteLoss(conn, idledMs) })
   }
 
@@ -49,12 +50,13 @@
     return this.openCounts.get(address) ?? 0
   }
 
-  private takeIdle (address: string, nonIdempotent: boolean): connection.Connection | undefined {
-    const idle = this.idle.get(address)
-    const conn = idle?.pop()
+  private takeIdle ({ address, nonIdempotent, usedConnections }: types.SendReq): connection.Connection | undefined {
+    const idle = this.idle.get(address) ?? []
+    const conn = idle.slice().reverse().find((candidate) => usedConnections?.has(candidate) !== true)
     if (conn === undefined) return undefined
+    idle.splice(idle.lastIndexOf(conn), 1)
     if (conn.isUsable(nonIdempotent, this.idleLimits.maxIdleMs(address, nonIdempotent))) return conn
-    if (conn.isUsable(false, this.idleLimits.maxIdleMs(address, false))) idle!.push(conn)
+    if (conn.isUsable(false, this.idleLimits.maxIdleMs(address, false))) idle.push(conn)
     else conn.close()
     return undefined
   }
--- a/src/upstream/types.ts
+++ b/src/upstream/types.ts
@@ -1,4 +1,5 @@
 /** Sending an HTTP request to a target and receiving the response as it arrives. */
+import type * as usedConnections from './used-connections.js'
 
 /** An encoded request. */
 export interface SendReq {
@@ -15,6 +16,8 @@
    * request avoids connections that may be about to close.
    */
   readonly nonIdempotent: boolean
+  /** Connections that carried other attempts of the same call: this one is sent on another, which is added. */
+  readonly usedConnections?: usedConnections.UsedConnections
 }
 
 /** Response headers by lower-case name. */
--- a/test/gateway/repeated-refusal.test.ts
+++ b/test/gateway/repeated-refusal.test.ts
@@ -8,6 +8,9 @@
 /** How long a request runs, in ms. */
 const RUN_MS = 60
 
+/** Time after which a request is refused, in ms: a target is paused for 60 ms after a refusal, and must be free again after that of the second one. */
+const REFUSE_MS = 90
+
 /** When the earlier refusal is written once more: while the connection is idle, or when the next request has arrived. */
 type Moment = 'idle' | 'running' | 'with_response'
 
@@ -116,6 +119,61 @@
   })
 })
 
+/** A server that refuses each request once. Asked again on the same connection, it repeats that refusal before it runs the request. */
+class RefusingOnceServer implements AsyncDisposable {
+  readonly ran: string[] = []
+  private readonly refused = new Map<string, net.Socket>()
+  private readonly sockets = new Set<net.Socket>()
+  private readonly server = net.createServer((socket) => {
+    this.sockets.add(socket)
+    let text = ''
+    socket.on('error', () => socket.destroy())
+    socket.on('data', (data) => {
+      text += data.toString('latin1')
+      if (!/\r\n\r\nb$/.test(text)) return
+      const id = /^request-id: (\S+)/im.exec(text)![1]!
+      text = ''
+      const refusal = head(503, id, 'not-executed: 1\r\n')
+      const refusedOn = this.refused.get(id)
+      this.refused.set(id, socket)
+      if (refusedOn === undefined) setTimeout(() => socket.write(refusal), REFUSE_MS)
+      if (refusedOn === socket) socket.write(refusal)
+      if (refusedOn !== undefined) this.run(socket, id)
+    })
+  })
+
+  async listen (): Promise<string> {
+    await new Promise<void>((resolve) => this.server.listen(0, HOST, resolve))
+    return `${HOST}:${(this.server.address() as net.AddressInfo).port}`
+  }
+
+  async [Symbol.asyncDispose] (): Promise<void> {
+    for (const socket of this.sockets) socket.destroy()
+    await new Promise<void>((resolve) => this.server.close(() => resolve()))
+  }
+
+  private run (socket: net.Socket, id: string): void {
+    this.ran.push(id)
+    setTimeout(() => socket.write(head(200, id, 'response-stamp: s\r\n')), RUN_MS)
+  }
+}
+
+// The repetition bears the id of the request and was taken for the response to its second send there: 503, though it ran.
+describe('a refusal that a server repeats when the same request comes again', () => {
+  it('is not taken for the response to that send', async () => {
+    await using a = new RefusingOnceServer()
+    await using b = new RefusingOnceServer()
+    await using gw = new support.GatewayProcess()
+    for (const [id, server] of [['i-a', a], ['i-b', b]] as const) {
+      await gw.store.put(`servers/${id}`, JSON.stringify({ service: 'ledger', address: await server.listen(), zone: 'z', slots: 4, state: 'ready', seq: 1 }), 'absent')
+    }
+    await gw.start({ ...support.CONFIG, routes: [{ ...support.CONFIG.routes[0]!, kind: 'unsafe', timeoutMs: 2_000, maxAttempts: 3 }] })
+    const { status } = await gw.request('r1')
+    await time.delay(new time.SystemTimers(), 2 * RUN_MS)
+    chai.expect({ status, runs: [...a.ran, ...b.ran].length }).to.deep.equal({ status: 200, runs: 1 })
+  })
+})
+
 describe('a refusal without an id on a new connection', () => {
   it('is that of the request, which goes to another server', async () => {
     await using server = new RepeatingServer({ moment: 'idle', status: 503, withId: false })
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -40,10 +40,10 @@
   readonly message?: string
 }
 
-async function send (pool: upstream.ConnectionPool, address: string, nonIdempotent = false): Promise<Outcome> {
+async function send (pool: upstream.ConnectionPool, address: string, nonIdempotent = false, usedConnections = new upstream.UsedConnections()): Promise<Outcome> {
   return await new Promise((resolve) => {
     let body = ''
-    pool.send({ address, method: 'GET', path: '/', headers: ['host', 'h'], body: new Uint8Array(0), nonIdempotent }, {
+    pool.send({ address, method: 'GET', path: '/', headers: ['host', 'h'], body: new Uint8Array(0), nonIdempotent, usedConnections }, {
       onHead: () => {},
       onData: (chunk) => { body += Buffer.from(chunk).toString() },
       onEnd: () => resolve({ kind: 'end', body, written: true }),
@@ -75,6 +75,18 @@
     for (let attempt = 0; attempt < 20; attempt++) chai.expect((await send(pool, address)).kind).to.equal('fail')
   })
 
+  // A repetition of the response to the first attempt would bear the id of the second one too.
+  it('sends two attempts of a call on different connections, and other calls on both', async () => {
+    await using server = new ScriptedServer((socket) => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'))
+    using pool = createPool()
+    const address = await server.listen()
+    const usedConnections = new upstream.UsedConnections()
+    for (let attempt = 0; attempt < 3; attempt++) await send(pool, address, false, usedConnections)
+    chai.expect(server.connections).to.equal(3)
+    await Promise.all([0, 1, 2].map(async () => await send(pool, address)))
+    chai.expect(server.connections).to.equal(3)
+  })
+
   // The HTTP client accepted such a head and failed an assertion afterwards, whose message took the bundled program 5 s to make.
   it('treats a head with a status below 100 as a malformed response', async () => {
     for (const status of ['000', '099']) {
