Handle SIGHUP and SIGTERM before the program's modules are loaded

Operators saw: processes ended by themselves (FAULT). Reproduced: SIGHUP up to 300 ms after the start ends the process, SIGTERM up to 200 ms ends it as killed instead of with 0, as the handlers were installed after all modules had loaded.

Change: the entry point is a small file that installs both handlers and then loads the program, which replaces them with its own. What remains is the start of Node itself, about 40 ms, in which no program can handle a signal.

Test: test/emulator/process-start.test.ts, with modules that take long to load; it failed before.

--- a/test/emulator/process-start.test.ts
+++ b/test/emulator/process-start.test.ts
@@ -4,6 +4,7 @@
 import * as path from 'node:path'
 import type * as stream from 'node:stream'
 import * as chai from 'chai'
+import * as time from '../../src/time/index.js'
 
 /** Folder of the built program; `npm run bundle` makes it. */
 const BUILD_DIR = 'target'
@@ -18,6 +19,12 @@
     return new CopiedProgram(dir)
   }
 
+  /** Makes the program print a line and wait when its modules begin to load. */
+  async delayLoading (): Promise<void> {
+    const file = path.join(this.dir, BUILD_DIR, 'godwitpoint-program.mjs')
+    await fs.writeFile(file, `console.log('loading')\nawait new Promise((resolve) => setTimeout(resolve, 20_000))\n${await fs.readFile(file, 'utf8')}`)
+  }
+
   start (...args: string[]): childProcess.ChildProcessByStdio<null, stream.Readable, null> {
     return childProcess.spawn(process.execPath, ['target/godwitpoint.mjs', ...args], { cwd: this.dir, stdio: ['ignore', 'pipe', 'inherit'] })
   }
@@ -31,10 +38,29 @@
   return await new Promise((resolve) => child.once('exit', (code, signal) => resolve(String(signal ?? code))))
 }
 
+async function wait (ms: number): Promise<void> {
+  await time.delay(new time.SystemTimers(), ms)
+}
+
 describe('start of the gateway process', () => {
   // The bundle left packages out, so that the process ended at once where only the built files are taken along.
   it('needs nothing but the built files', async () => {
     await using program = await CopiedProgram.create()
     chai.expect(await exitOf(program.start('--help'))).to.equal('0')
   })
+
+  // The handlers were installed after all modules had loaded; until then SIGHUP and SIGTERM ended the process as killed.
+  it('handles SIGHUP and SIGTERM before its modules are loaded', async () => {
+    await using program = await CopiedProgram.create()
+    await program.delayLoading()
+    const child = program.start()
+    const exit = exitOf(child)
+    await new Promise((resolve) => child.stdout.once('data', resolve))
+    for (let count = 0; count < 3; count++) {
+      child.kill('SIGHUP')
+      await wait(20)
+    }
+    child.kill('SIGTERM')
+    chai.expect(await exit).to.equal('0')
+  })
 })
--- a/test/platform/bundle.test.ts
+++ b/test/platform/bundle.test.ts
@@ -1,8 +1,8 @@
 import * as fs from 'node:fs'
 import * as chai from 'chai'
 
-/** The bundled program; `npm run bundle` makes it. */
-const PROGRAM = 'target/godwitpoint.mjs'
+/** The part of the bundled program that holds the libraries; `npm run bundle` makes it. */
+const PROGRAM = 'target/godwitpoint-program.mjs'
 
 /** Longest line of source that holds an assertion, in characters. */
 const MAX_LINE_CHARS = 1_000
