Wait for ports that are in use at the start, and log errors of open listeners

Operators saw: processes ended by themselves (FAULT). Reproduced: with the port of callers, of readiness or of the directory taken for 1 s at the start, by the process before for example, the program ended with EADDRINUSE.

Errors of an open listener are logged: Node emits them when a connection finds no file descriptor, and the second one would have ended the process (read in its source, not reproduced).

Test: test/emulator/process-start.test.ts; its four new cases failed before.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -83,7 +83,7 @@
   constructor (private readonly settings: EntrySettings, private readonly env: Env, private readonly log: Logger, private readonly options: EntryOptions = {}) {
     this.incarnation = `${settings.entry.name}-${crypto.randomBytes(4).toString('hex')}`
     this.platform = this.resources.use(new HttpPlatform(settings.platform.url))
-    this.peers = this.resources.use(new TcpPeers(env.timers))
+    this.peers = this.resources.use(new TcpPeers(env.timers, log))
     this.admission = new FairAdmission(env)
     this.router = new TwoChoiceRouter(env, (domain) => this.roundTripMs(domain))
     this.targetClients = this.resources.use(new HttpTargetClients())
--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -5,6 +5,7 @@
 import type * as log from '../log/index.js'
 import type * as metrics from '../metrics/index.js'
 import type * as serving from '../serving/index.js'
+import * as sockets from '../sockets/index.js'
 import type * as time from '../time/index.js'
 import * as callerConnections from './caller-connections.js'
 import * as connectionPolicy from './connection-policy.js'
@@ -93,10 +94,7 @@
 
   /** Starts listening; rejects when the port cannot be bound. */
   async listen (host: string, port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen({ host, port, backlog: ACCEPT_BACKLOG }, resolve)
-    })
+    await sockets.listen(this.server, { host, port, backlog: ACCEPT_BACKLOG }, { timers: this.deps.env.timers, log: this.deps.log })
   }
 
   /** Makes each response from now on close its connection. */
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -89,6 +89,7 @@
   private readonly usageCloser: duties.UsageCloser
   private readonly targetOrders: duties.TargetOrders
   private readonly budgets = new Map<string, retry.SharedRetryBudget>()
+  private listening = false
   private stopTimes: stopTimes.StopTimes | undefined
   private stopping: Promise<void> | undefined
 
@@ -101,7 +102,7 @@
     this.pool = new upstream.ConnectionPool({ env, metrics })
     this.fleet = new fleet.Fleet({ clock: env.clock, log, onRemoved: (address) => this.pool.dropIdleConnections(address) })
     this.fleetFeed = new fleet.FleetFeed({ env, elapsed: this.elapsed, store, eras: deps.eras, fleet: this.fleet, leavePropagationMs: settings.bounds.leavePropagationMs, shortestExpiryMs: settings.bounds.targetExpiryMs, isReader: isRelay, log, ...deps.targets })
-    this.peers = new peer.TcpPeers(env.timers)
+    this.peers = new peer.TcpPeers(env.timers, log)
     const self = this.gatewayRecord()
     this.roster = new exchange.Roster({ clock: env.clock, log, self })
     const windowMs = settings.bounds.usageWindowMs
@@ -123,7 +124,7 @@
     this.feed.onChange((config) => this.frontend.applyLimits(config.limits))
   }
 
-  /** Opens the sockets and starts the periodic tasks; rejects when a port cannot be bound. */
+  /** Opens the sockets, waiting for ports that are in use, and starts the periodic tasks; rejects when a port cannot be bound. */
   async start (): Promise<void> {
     const { settings } = this.deps
     this.feed.start()
@@ -132,6 +133,7 @@
     this.quarantineRecords.start()
     await this.peers.listen(settings.peerHost, settings.peerPort)
     await this.frontend.listen(settings.callerHost, settings.callerPort)
+    this.listening = true
     this.directory.start()
     this.exchange.start()
     this.lease.start()
@@ -140,9 +142,9 @@
     this.targetOrders.start()
   }
 
-  /** Whether callers are served: not stopping, with fresh keys and a list of targets. */
+  /** Whether callers are served: connections are accepted, not stopping, with fresh keys and a list of targets. */
   get ready (): boolean {
-    return this.stopTimes === undefined && this.gateway.keysAreFresh && this.fleetFeed.ready
+    return this.listening && this.stopTimes === undefined && this.gateway.keysAreFresh && this.fleetFeed.ready
   }
 
   /** Addresses of gateways that callers are given. */
--- a/src/peer/json-rpc-tcp.ts
+++ b/src/peer/json-rpc-tcp.ts
@@ -3,6 +3,8 @@
 import * as readline from 'node:readline'
 import * as rpc from 'json-rpc-2.0'
 import { Err, Ok, type Result } from '../errors/index.js'
+import { SILENT_LOGGER, type Logger } from '../log/index.js'
+import * as sockets from '../sockets/index.js'
 import type { Timers } from '../time/index.js'
 import { withTimeout } from '../time/index.js'
 import type { PeerError, PeerHandler, Peers } from './types.js'
@@ -35,16 +37,13 @@
   private readonly connections = new Map<string, PeerConnection>()
   private readonly acceptedSockets = new Set<net.Socket>()
 
-  constructor (private readonly timers: Timers) {
+  constructor (private readonly timers: Timers, private readonly log: Logger = SILENT_LOGGER) {
     this.server.applyMiddleware(async (next, req, server) => await next(req, server))
   }
 
   /** Starts listening; resolves with the port. */
   async listen (host: string, port: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.listener.once('error', reject)
-      this.listener.listen(port, host, resolve)
-    })
+    await sockets.listen(this.listener, { host, port }, { timers: this.timers, log: this.log })
     return (this.listener.address() as net.AddressInfo).port
   }
 
--- /dev/null
+++ b/src/sockets/index.ts
@@ -0,0 +1,2 @@
+/** Sockets that listen. */
+export { listen, type ListenDeps } from './listen.js'
--- a/test/emulator/deployment.ts
+++ b/test/emulator/deployment.ts
@@ -66,7 +66,7 @@
 
   constructor (
     readonly name: string, readonly front: string, readonly ready: string, readonly directory: string,
-    private readonly settingsPath: string, private readonly metricsPort: number, private readonly nodeArgs: readonly string[]
+    readonly settingsPath: string, private readonly metricsPort: number, private readonly nodeArgs: readonly string[]
   ) {}
 
   /** Starts the process. */
@@ -86,6 +86,11 @@
     })
   }
 
+  /** Process id; undefined when it does not run. */
+  get pid (): number | undefined {
+    return this.child?.pid
+  }
+
   get running (): boolean {
     return this.child !== undefined
   }
--- a/test/emulator/process-start.test.ts
+++ b/test/emulator/process-start.test.ts
@@ -1,14 +1,19 @@
 import * as childProcess from 'node:child_process'
 import * as fs from 'node:fs/promises'
+import * as net from 'node:net'
 import * as os from 'node:os'
 import * as path from 'node:path'
 import type * as stream from 'node:stream'
 import * as chai from 'chai'
 import * as time from '../../src/time/index.js'
+import * as deployment from './deployment.js'
 
 /** Folder of the built program; `npm run bundle` makes it. */
 const BUILD_DIR = 'target'
 
+/** How long a process is left alone with a port that is in use or settings that are incomplete, in ms. */
+const TROUBLE_MS = 1_000
+
 /** A copy of the built program in a folder without `node_modules`. */
 class CopiedProgram implements AsyncDisposable {
   private constructor (readonly dir: string) {}
@@ -42,6 +47,22 @@
   await time.delay(new time.SystemTimers(), ms)
 }
 
+/** One gateway that was ready and was killed. */
+async function startKilled (): Promise<deployment.Deployment> {
+  const dep = await deployment.Deployment.start(time.systemEnv(), { gateways: 1, engines: 1, plains: 1, accounts: 1 })
+  await dep.ready()
+  dep.gateways[0]!.signal('SIGKILL')
+  await dep.gateways[0]!.ended()
+  return dep
+}
+
+async function occupy (address: string): Promise<net.Server> {
+  const [host, port] = address.split(':')
+  const server = net.createServer((socket) => socket.destroy())
+  await new Promise<void>((resolve) => server.listen(Number(port), host, resolve))
+  return server
+}
+
 describe('start of the gateway process', () => {
   // The bundle left packages out, so that the process ended at once where only the built files are taken along.
   it('needs nothing but the built files', async () => {
@@ -63,4 +84,34 @@
     child.kill('SIGTERM')
     chai.expect(await exit).to.equal('0')
   })
+
+  // A process that was started while the one before still stopped ended with EADDRINUSE.
+  for (const port of ['front', 'ready', 'directory'] as const) {
+    it(`waits for the port of ${port} while it is in use`, async () => {
+      await using dep = await startKilled()
+      const gateway = dep.gateways[0]!
+      const other = await occupy(gateway[port])
+      gateway.start()
+      await wait(TROUBLE_MS)
+      chai.expect(gateway.running, gateway.lines.join('\n')).to.equal(true)
+      await new Promise<void>((resolve) => { other.close(() => resolve()) })
+      await dep.ready()
+      chai.expect(gateway.unexpectedExits).to.deep.equal([])
+    })
+  }
+
+  it('does not count as ready while callers cannot connect', async () => {
+    await using dep = await startKilled()
+    const gateway = dep.gateways[0]!
+    const other = await occupy(gateway.front)
+    gateway.start()
+    const statuses = new Set<number>()
+    for (let elapsed = 0; elapsed < 2 * TROUBLE_MS; elapsed += 50) {
+      await wait(50)
+      await fetch(`http://${gateway.ready}/`).then((res) => statuses.add(res.status), () => {})
+    }
+    chai.expect([...statuses]).to.deep.equal([503])
+    await new Promise<void>((resolve) => { other.close(() => resolve()) })
+    await dep.ready()
+  })
 })
