--- a/test/emulator/process-start.test.ts
+++ b/test/emulator/process-start.test.ts
@@ -114,4 +114,17 @@
     await new Promise<void>((resolve) => { other.close(() => resolve()) })
     await dep.ready()
   })
+
+  // The platform writes the file at each start; a process that read half of it ended.
+  it('waits for settings that are missing or incomplete', async () => {
+    await using dep = await startKilled()
+    const gateway = dep.gateways[0]!
+    const text = await fs.readFile(gateway.settingsPath, 'utf8')
+    await fs.writeFile(gateway.settingsPath, text.slice(0, text.length / 2))
+    gateway.start()
+    await wait(TROUBLE_MS)
+    await fs.writeFile(gateway.settingsPath, text)
+    await dep.ready()
+    chai.expect(gateway.unexpectedExits).to.deep.equal([])
+  })
 })
