Bound the bytes of a response that are no body: heads, trailers, extensions, interim ones

Other operators saw: bytes without end in a head or a body of a faulty server took the memory of the machine that had called it. Seen here (10 targets at once, one run each on this machine): endless short fields stopped a process for 366 ms in a head and for 422 ms in a trailer; the limit of undici counts names and values only, and it makes an error for each field beyond it. Interim responses and chunk extensions without end went on until the call was given up.

Change: a connection that has received 128 KiB since its request or the last part of a body fails.

Test: test/upstream/connection-pool.test.ts, five cases.

--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -17,6 +17,13 @@
 /** Largest response header block accepted from a target, in bytes. */
 const MAX_HEADER_BYTES = 64 * 1024
 
+/**
+ * Most bytes that may arrive without any of a body: heads, interim responses, chunk extensions and trailers. Larger than a
+ * read of the socket, 64 KiB, as what was read and not parsed yet counts. The limit of undici alone counts names and values,
+ * and allows tens of thousands of short fields, which take seconds when several targets send them at once.
+ */
+const MAX_BYTES_WITHOUT_BODY = 128 * 1024
+
 /** Lowest status of HTTP, and lowest status of a response that is not interim. */
 const MIN_STATUS = 100
 const MIN_FINAL_STATUS = 200
@@ -28,6 +35,9 @@
   private keepAliveMs = DEFAULT_KEEP_ALIVE_MS
   private connected = false
   private used = false
+  private socket: net.Socket | undefined
+  /** Bytes received up to the last part of a body, or the last request. */
+  private bytesUpToBody = 0
   closed = false
   /** Whether the connection was reset; undici takes a reset as the end of a close-delimited response. */
   wasReset = false
@@ -55,6 +65,8 @@
       const socket = args[1]
       socket?.once('error', () => { this.wasReset = true })
       socket?.once('end', () => this.probeForReset(socket))
+      socket?.on('readable', () => this.checkBytesWithoutBody(socket))
+      this.socket = socket ?? undefined
       callback(...args)
     })
   }
@@ -67,6 +79,16 @@
     if (socket.errored !== null) this.wasReset = true
   }
 
+  // Called before undici reads, as its listener is added later.
+  private checkBytesWithoutBody (socket: net.Socket): void {
+    if (socket.bytesRead - this.bytesUpToBody > MAX_BYTES_WITHOUT_BODY) socket.destroy(new Error('too many bytes without a body'))
+  }
+
+  /** Notes that a request is being written, or that a part of a body has arrived. */
+  noteProgress (): void {
+    this.bytesUpToBody = this.socket?.bytesRead ?? 0
+  }
+
   /** Whether a request may be sent on this idle connection; `maxIdleMs` is the longest idle time known to be safe. */
   isUsable (nonIdempotent: boolean, maxIdleMs: number): boolean {
     const share = nonIdempotent ? KEEP_ALIVE_SHARE_NON_IDEMPOTENT : KEEP_ALIVE_SHARE
@@ -164,6 +186,7 @@
       controller.abort(new Error('withdrawn before it was written'))
       return
     }
+    this.connection.noteProgress()
     this.written = true
   }
 
@@ -179,6 +202,7 @@
   }
 
   onResponseData (_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    this.connection.noteProgress()
     if (!this.finished) this.handler.onData(chunk)
   }
 
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -87,6 +87,37 @@
     chai.expect(server.connections).to.equal(3)
   })
 
+  // Tens of thousands of short fields passed the limit of the HTTP client; several such heads at once stopped a gateway for seconds.
+  for (const [part, start, endless] of [
+    ['head', 'HTTP/1.1 200 OK\r\n', 'A: b\r\n'],
+    ['interim responses', '', 'HTTP/1.1 103 Early\r\n\r\n'],
+    ['chunk extension', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1', ';a=b'],
+    ['trailer', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n', 'A: b\r\n']
+  ] as const) {
+    it(`gives up a response with an endless ${part} after a bounded number of bytes`, async () => {
+      const piece = Buffer.from(endless.repeat(1_000))
+      let bytes = 0
+      await using server = new ScriptedServer((socket) => {
+        const write = (): void => {
+          if (socket.destroyed) return
+          socket.write(piece, write)
+          bytes += piece.length
+        }
+        socket.write(start, write)
+      })
+      using pool = createPool()
+      chai.expect(await send(pool, await server.listen())).to.include({ kind: 'fail', message: 'too many bytes without a body' })
+      chai.expect(bytes).to.be.lessThan(16 * 1024 * 1024)
+    })
+  }
+
+  it('accepts a long body in short chunks, whose framing is longer than it', async () => {
+    await using server = new ScriptedServer((socket) => socket.write(`HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n${'1;a=b\r\nx\r\n'.repeat(100_000)}0\r\n\r\n`))
+    using pool = createPool()
+    const { kind, body } = await send(pool, await server.listen())
+    chai.expect([kind, body.length]).to.deep.equal(['end', 100_000])
+  })
+
   // The HTTP client accepted such a head and failed an assertion afterwards, whose message took the bundled program 5 s to make.
   it('treats a head with a status below 100 as a malformed response', async () => {
     for (const status of ['000', '099']) {
