Keep a retry for the return to a silent target, so that silence ends no stream

A sound server may fall silent for a second or so; that must not end an answer sooner (LOST). A stream whose target had been silent for 1.5 s was aborted and moved with the last retry of the budget; when the next target refused, the call ended.

Change: a silent attempt is replaced only when two retries are left, one for the next target and one for the return, which is taken from the budget in advance.

The test "takes one retry from the budget, and stays with its target while there is none" asked for the move with the last retry, which is the fault. Its replacement asks for the move with two retries, and for staying with fewer, with the same exact sends; a new case asks for no move with one.

Tests: test/forward/replaced-attempt.test.ts (two cases), test/forward/silence.test.ts; the case "is not moved" failed before: the stream was broken off.

--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -10,7 +10,9 @@
 import * as attempt from './attempt.js'
 import * as attemptRace from './attempt-race.js'
 import * as attemptRecorder from './attempt-recorder.js'
+import * as callRetries from './call-retries.js'
 import * as callTimes from './call-times.js'
+import * as noPlacement from './no-placement.js'
 import * as responseStatus from './response-status.js'
 import * as sentTargets from './sent-targets.js'
 import * as stallTimeouts from './stall-timeouts.js'
@@ -49,11 +51,6 @@
   }
 }
 
-/** Why a call is not sent to a target now; `lateMs` by how much the first event would be too late. */
-class NoPlacement {
-  constructor (readonly reason: errors.Refusal | errors.RefusalReason, readonly lateMs = 0) {}
-}
-
 type CallDeps = ForwarderDeps & attempt.AttemptDeps
 
 /** State of one call over all its attempts. */
@@ -66,7 +63,7 @@
   private readonly progress: streamProgress.StreamProgress
   private readonly times: callTimes.CallTimes
   private readonly recorder: attemptRecorder.AttemptRecorder
-  private readonly budget: retry.SharedRetryBudget
+  private readonly retries: callRetries.CallRetries
   private readonly race: attemptRace.AttemptRace
   /** Attempts whose request may have reached a target; they count against the retry budget and the route's `maxTargets`. */
   private readonly sent: sentTargets.SentTargets
@@ -83,12 +80,12 @@
     this.times = new callTimes.CallTimes(call, deps.metrics)
     this.recorder = new attemptRecorder.AttemptRecorder(deps, call, this.progress)
     this.sent = new sentTargets.SentTargets(call.route.maxTargets)
-    this.budget = deps.budgetFor(call.service.name)
+    this.retries = new callRetries.CallRetries(deps.budgetFor(call.service.name))
     this.race = new attemptRace.AttemptRace({ metrics: deps.metrics, service: call.service.name, callId: call.id, log: deps.log, execute: async (run) => await this.attemptAt(run), reserve: (silent, beside) => this.reserve(silent, beside) })
   }
 
   async run (): Promise<errors.Refusal | undefined> {
-    this.budget.countRequest()
+    this.deps.budgetFor(this.call.service.name).countRequest()
     const onCallerLeft = (): void => this.endEarly('caller_left')
     this.signal.addEventListener('abort', onCallerLeft, { once: true })
     if (this.signal.aborted) onCallerLeft()
@@ -106,7 +103,7 @@
   private async attemptUntilDone (): Promise<errors.Refusal | undefined> {
     for (;;) {
       const next = this.nextPlacement()
-      if (next instanceof NoPlacement) return this.giveUp(next.reason, next.lateMs)
+      if (next instanceof noPlacement.NoPlacement) return this.giveUp(next.reason, next.lateMs)
       if (await this.race.run(next)) return undefined
     }
   }
@@ -115,14 +112,14 @@
    * Where the call is sent next; takes a retry from the budget if the send is one. A send beside another one has no prefill
    * at a further target, as two targets must not go on with one call.
    */
-  private nextPlacement (beside = false): placement.Placement | NoPlacement {
+  private nextPlacement (beside = false): placement.Placement | noPlacement.NoPlacement {
     const stopReason = this.reasonToStop()
-    if (stopReason !== undefined) return new NoPlacement(stopReason)
+    if (stopReason !== undefined) return new noPlacement.NoPlacement(stopReason)
     const choice = this.chooseTarget()
-    if (choice === undefined || (beside && choice.prefillTarget !== undefined)) return new NoPlacement('no_target')
+    if (choice === undefined || (beside && choice.prefillTarget !== undefined)) return new noPlacement.NoPlacement('no_target')
     const lateMs = this.lateMs(choice)
-    if (lateMs > 0) return new NoPlacement('deadline_unreachable', lateMs)
-    if (!this.mayAttempt()) return new NoPlacement(this.mayHaveExecuted ? 'target_failed' : 'retry_budget_exhausted')
+    if (lateMs > 0) return new noPlacement.NoPlacement('deadline_unreachable', lateMs)
+    if (!this.mayAttempt()) return new noPlacement.NoPlacement(this.mayHaveExecuted ? 'target_failed' : 'retry_budget_exhausted')
     // A trial is taken only for a send.
     if (this.call.prompt !== undefined && !this.reply.started) this.deps.quarantine.admit(this.call.prompt, this.trials)
     return choice
@@ -132,10 +129,14 @@
   private reserve (silent: attemptRace.Run, beside: boolean): placement.Placement | undefined {
     const { prompt } = this.call
     if (this.trials.size > 0 || (prompt !== undefined && !this.reply.started && this.deps.quarantine.isBarred(prompt, this.trials))) return undefined
-    if (!this.sent.mayReplace(this.race.size) || this.budget.remaining < 1) return undefined
+    // Where the silent attempt is aborted, the call must be able to return to its target: the next one may refuse.
+    if (!this.sent.mayReplace(this.race.size) || !this.retries.has(beside ? 1 : 2)) return undefined
     const next = this.nextPlacement(beside)
-    if (next instanceof NoPlacement) return undefined
-    if (!beside) this.sent.noteReplaced(silent.choice)
+    if (next instanceof noPlacement.NoPlacement) return undefined
+    if (!beside) {
+      this.sent.noteReplaced(silent.choice)
+      this.retries.prepay()
+    }
     return next
   }
 
@@ -206,7 +207,7 @@
   private mayAttempt (): boolean {
     if (this.usedAttempts === 0) return true
     if (!this.attemptsLeft) return false
-    if (!this.budget.tryRetry()) return false
+    if (!this.retries.take()) return false
     this.deps.metrics.count('godwitpoint_repeats_total', `service="${this.call.service.name}"`)
     return true
   }
@@ -279,7 +280,7 @@
     }
     this.lastResponse = { head: result.head, body: result.body }
     const failed = result.head.status >= 500
-    if (failed && this.call.route.idempotency !== 'non_idempotent' && this.sent.sendsLeft(0) && this.budget.remaining >= 1) {
+    if (failed && this.call.route.idempotency !== 'non_idempotent' && this.sent.sendsLeft(0) && this.retries.has(1)) {
       this.triedTargets.add(target.record.id)
       this.lastMessage = `status ${result.head.status}`
       this.deps.log.info({ id: this.call.id, target: target.record.id, status: result.head.status }, 'call_repeated')
--- a/test/forward/replaced-attempt.test.ts
+++ b/test/forward/replaced-attempt.test.ts
@@ -22,6 +22,36 @@
     chai.expect([fixture.reply.text, fixture.reply.state]).to.deep.equal([eventText(1) + eventText(2) + eventText(3), 'ended'])
   })
 
+  // The attempt that replaced the silent one used the last retry of the budget, and was refused.
+  it('is not moved when the budget has no retry left for the return to its target', async () => {
+    const fixture = setUp({ slack: 5 })
+    fixture.start(build.aCall({ route: STREAM }))
+    const [first] = fixture.upstream.sends
+    beginStream(first!, 1)
+    await fixture.virtual.advance(1_600)
+    if (fixture.upstream.sends.length > 1) respond(fixture.upstream.sends[1]!, 503, '', { 'not-executed': '1' })
+    await fixture.virtual.advance(100)
+    fixtures.sendEvents(first!, 2, 3)
+    first!.handler.onEnd()
+    await fixture.virtual.advance(1)
+    chai.expect([fixture.reply.text, fixture.reply.state]).to.deep.equal([eventText(1) + eventText(2) + eventText(3), 'ended'])
+  })
+
+  it('returns to its target with the retry that was kept for it', async () => {
+    const fixture = setUp({ slack: 7 })
+    fixture.start(build.aCall({ route: STREAM }))
+    beginStream(fixture.upstream.sends[0]!, 1)
+    await fixture.virtual.advance(1_600)
+    respond(fixture.upstream.sends[1]!, 503, '', { 'not-executed': '1' })
+    while (fixture.budget.tryRetry()) { /* other calls use up the budget */ }
+    await fixture.virtual.advance(100)
+    const last = fixture.upstream.sends[2]!
+    beginStream(last, 2, 3)
+    last.handler.onEnd()
+    await fixture.virtual.advance(1)
+    chai.expect([fixture.reply.text, fixture.reply.state]).to.deep.equal([eventText(1) + eventText(2) + eventText(3), 'ended'])
+  })
+
   it('does not fail when the caller resumed it and the next target refuses', async () => {
     const fixture = setUp()
     fixture.start(build.aCall({ route: STREAM, resumeAfter: '1' }))
--- a/test/forward/silence.test.ts
+++ b/test/forward/silence.test.ts
@@ -329,10 +329,10 @@
     chai.expect([fixture.upstream.sends.length, fixture.reply.state]).to.deep.equal([1, 'aborted'])
   })
 
-  it('takes one retry from the budget, and stays with its target while there is none', async () => {
-    const fixture = setUp({ slack: 4.8 })
+  it('takes one retry from the budget and keeps one for the return to its target, and stays there while there are fewer', async () => {
+    const fixture = setUp({ slack: 9.6 })
     const left = fixture.budget.remaining
-    chai.expect(left).to.be.within(1, 1.1)
+    chai.expect(left).to.be.within(2, 2.1)
     fixture.start(build.aCall({ route: { ...STREAM, maxTargets: 9 } }))
     beginStream(fixture.upstream.sends[0]!, 1)
     await fixture.virtual.advance(3_000)
