--- a/test/gateway/repeated-refusal.test.ts
+++ b/test/gateway/repeated-refusal.test.ts
@@ -2,6 +2,7 @@
 import * as chai from 'chai'
 import * as time from '../../src/time/index.js'
 import * as support from '../support/gateway-process.js'
+import * as rawServer from '../support/raw-server.js'
 
 const HOST = '127.0.0.1'
 
@@ -25,39 +26,22 @@
 }
 
 /** A server that refuses its first request, writes that refusal once more on the same connection, and runs all others. */
-class RepeatingServer implements AsyncDisposable {
+class RepeatingServer extends rawServer.RawServer {
   readonly ran: string[] = []
   private refusal: string | undefined
   private repeated = false
-  private readonly sockets = new Set<net.Socket>()
-  private readonly server = net.createServer((socket) => {
-    this.sockets.add(socket)
-    let refusedHere = false
-    let text = ''
-    socket.on('error', () => socket.destroy())
-    socket.on('data', (data) => {
-      text += data.toString('latin1')
-      if (!/\r\n\r\nb$/.test(text)) return
-      const id = /^request-id: (\S+)/im.exec(text)![1]!
-      text = ''
-      if (this.refusal !== undefined) this.run(socket, id, refusedHere)
+  /** Connections on which a request was refused. */
+  private readonly refusedOn = new WeakSet<net.Socket>()
+
+  constructor (private readonly repetition: Repetition) {
+    super((socket, request) => {
+      const id = rawServer.requestId(request)
+      if (this.refusal !== undefined) this.run(socket, id, this.refusedOn.has(socket))
       else {
-        refusedHere = true
+        this.refusedOn.add(socket)
         this.refuse(socket, id)
       }
     })
-  })
-
-  constructor (private readonly repetition: Repetition) {}
-
-  async listen (): Promise<string> {
-    await new Promise<void>((resolve) => this.server.listen(0, HOST, resolve))
-    return `${HOST}:${(this.server.address() as net.AddressInfo).port}`
-  }
-
-  async [Symbol.asyncDispose] (): Promise<void> {
-    for (const socket of this.sockets) socket.destroy()
-    await new Promise<void>((resolve) => this.server.close(() => resolve()))
   }
 
   private refuse (socket: net.Socket, id: string): void {
@@ -120,19 +104,13 @@
 })
 
 /** A server that refuses each request once. Asked again on the same connection, it repeats that refusal before it runs the request. */
-class RefusingOnceServer implements AsyncDisposable {
+class RefusingOnceServer extends rawServer.RawServer {
   readonly ran: string[] = []
   private readonly refused = new Map<string, net.Socket>()
-  private readonly sockets = new Set<net.Socket>()
-  private readonly server = net.createServer((socket) => {
-    this.sockets.add(socket)
-    let text = ''
-    socket.on('error', () => socket.destroy())
-    socket.on('data', (data) => {
-      text += data.toString('latin1')
-      if (!/\r\n\r\nb$/.test(text)) return
-      const id = /^request-id: (\S+)/im.exec(text)![1]!
-      text = ''
+
+  constructor () {
+    super((socket, request) => {
+      const id = rawServer.requestId(request)
       const refusal = head(503, id, 'not-executed: 1\r\n')
       const refusedOn = this.refused.get(id)
       this.refused.set(id, socket)
@@ -140,16 +118,6 @@
       if (refusedOn === socket) socket.write(refusal)
       if (refusedOn !== undefined) this.run(socket, id)
     })
-  })
-
-  async listen (): Promise<string> {
-    await new Promise<void>((resolve) => this.server.listen(0, HOST, resolve))
-    return `${HOST}:${(this.server.address() as net.AddressInfo).port}`
-  }
-
-  async [Symbol.asyncDispose] (): Promise<void> {
-    for (const socket of this.sockets) socket.destroy()
-    await new Promise<void>((resolve) => this.server.close(() => resolve()))
   }
 
   private run (socket: net.Socket, id: string): void {
--- a/test/gateway/truncated-response.test.ts
+++ b/test/gateway/truncated-response.test.ts
@@ -1,8 +1,6 @@
-import * as net from 'node:net'
 import * as chai from 'chai'
 import * as support from '../support/gateway-process.js'
-
-const HOST = '127.0.0.1'
+import * as rawServer from '../support/raw-server.js'
 
 const HEAD = 'response-stamp: s\r\nrequest-id: ID\r\n'
 
@@ -15,36 +13,15 @@
 }
 
 /** A server that sends its response up to the byte that the path of the request names, and then closes the connection. */
-class TruncatingServer implements AsyncDisposable {
-  private readonly sockets = new Set<net.Socket>()
-  private readonly server: net.Server
-
+class TruncatingServer extends rawServer.RawServer {
   constructor (response: string) {
-    this.server = net.createServer((socket) => {
-      this.sockets.add(socket)
-      let text = ''
-      socket.on('error', () => socket.destroy())
-      socket.on('data', (data) => {
-        text += data.toString('latin1')
-        const [, bytes, how] = /^POST \/r\/(\d+)\/(\w+)/.exec(text) ?? []
-        if (!/\r\n\r\nb$/.test(text)) return
-        const part = response.replace('ID', /^request-id: (\S+)/im.exec(text)![1]!).slice(0, Number(bytes))
-        text = ''
-        if (how === 'reset') socket.write(part, () => socket.resetAndDestroy())
-        else socket.end(part)
-      })
+    super((socket, request) => {
+      const [, bytes, how] = /^POST \/r\/(\d+)\/(\w+)/.exec(request)!
+      const part = response.replace('ID', rawServer.requestId(request)).slice(0, Number(bytes))
+      if (how === 'reset') socket.write(part, () => socket.resetAndDestroy())
+      else socket.end(part)
     })
   }
-
-  async listen (): Promise<string> {
-    await new Promise<void>((resolve) => this.server.listen(0, HOST, resolve))
-    return `${HOST}:${(this.server.address() as net.AddressInfo).port}`
-  }
-
-  async [Symbol.asyncDispose] (): Promise<void> {
-    for (const socket of this.sockets) socket.destroy()
-    await new Promise<void>((resolve) => this.server.close(() => resolve()))
-  }
 }
 
 // Reported of other systems: callers got a 200 with an empty or short body, framed as whole, when a server stopped in the head.
