Look for a newer configuration with a stale read, and give relays a fifth of the bound

Ruled out: to skip the read for a copy of less than 0.4 of the bound: a key that was just added would get a final refusal. Change: the read for such a request may be stale, which costs a tenth; it applies a newer version and confirms nothing. Members wait for their relay for 0.2 of the propagation bound.

--- a/src/fleet/fleet-feed.ts
+++ b/src/fleet/fleet-feed.ts
@@ -17,8 +17,11 @@
 /** Time to the next read after a failed one, in ms. */
 const RETRY_INTERVAL_MS = 250
 
-/** Age beyond the read interval up to which a member waits for its relay, in ms: several exchanges and one that is late. */
-const RELAY_SLACK_MS = 350
+/**
+ * Age beyond the read interval up to which a member waits for its relay, as a share of the propagation bound: the read of the
+ * relay, several exchanges and one that is late. With 350 ms, members of busy relays read the store as often as the relays did.
+ */
+const RELAY_SLACK_SHARE = 0.2
 
 /** Time after which a list is applied again although it has not changed, in ms: targets may be kept for a while. */
 const REAPPLY_INTERVAL_MS = 1_000
@@ -96,7 +99,7 @@
     this.poller = new time.Poller({
       timers: deps.env.timers,
       intervalMs,
-      mayWaitMs: () => deps.isReader() ? 0 : intervalMs + RELAY_SLACK_MS - this.freshness.ageMs,
+      mayWaitMs: () => deps.isReader() ? 0 : intervalMs + RELAY_SLACK_SHARE * deps.leavePropagationMs - this.freshness.ageMs,
       retryMs: RETRY_INTERVAL_MS,
       read: async () => await this.read(),
       onError: (err) => deps.log.error({ err }, 'target_list_failed')
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -72,11 +72,11 @@
     if (!(outcome instanceof errors.Refusal) || !isFinal(outcome)) return outcome
     // The store may have a newer configuration that allows the request.
     const route = this.deps.feed.current()?.findRoute(req.host, withoutQuery(req.path))
-    await time.withTimeout(this.deps.env.timers, waitMsOf(req, route) * REFRESH_WAIT_SHARE, this.deps.feed.refresh(), () => undefined)
+    const maxAgeMs = this.deps.bounds.configPropagationMs * FINAL_REFUSAL_STALENESS_SHARE
+    await time.withTimeout(this.deps.env.timers, waitMsOf(req, route) * REFRESH_WAIT_SHARE, this.deps.feed.refresh(maxAgeMs), () => undefined)
     const recheck = this.check(req)
     if (!(recheck instanceof errors.Refusal) || !isFinal(recheck)) return recheck
-    const isFresh = this.deps.feed.freshness.ageMs <= this.deps.bounds.configPropagationMs * FINAL_REFUSAL_STALENESS_SHARE
-    return isFresh ? recheck : refusal('route_state_unknown', 'authenticate', RETRY_AFTER_MS)
+    return this.deps.feed.freshness.ageMs <= maxAgeMs ? recheck : refusal('route_state_unknown', 'authenticate', RETRY_AFTER_MS)
   }
 
   private check (req: types.CallerReq): AuthorizedRequest | errors.Refusal {
--- a/src/serving/config-feed.ts
+++ b/src/serving/config-feed.ts
@@ -19,8 +19,14 @@
 /** Time from a failed read to the next one, in ms. */
 const RETRY_INTERVAL_MS = 250
 
-/** Age beyond the read interval up to which a member waits for its relay, in ms: several exchanges and one that is late. */
-const RELAY_SLACK_MS = 350
+/** Looks for a newer configuration in progress at once; further requests that the copy does not allow do without. */
+const MAX_CONCURRENT_LOOKS = 3
+
+/**
+ * Age beyond the read interval up to which a member waits for its relay, as a share of the propagation bound: the read of the
+ * relay, several exchanges and one that is late. With 350 ms, members of busy relays read the store as often as the relays did.
+ */
+const RELAY_SLACK_SHARE = 0.2
 
 /**
  * Largest configuration that a relay passes on, in characters; members read a larger one from the store, whose link is
@@ -68,6 +74,8 @@
   private toldReadAt = -Infinity
   private readonly intervalMs: number
   private readonly poller: time.Poller
+  /** Reads for requests that the current configuration does not allow, in progress. */
+  private looking = 0
   private failing = false
   private readonly listeners: Array<(config: serving.ServingConfig) => void> = []
 
@@ -78,12 +86,12 @@
     this.poller = new time.Poller({
       timers: deps.env.timers,
       intervalMs,
-      mayWaitMs: () => deps.isReader() ? 0 : intervalMs + RELAY_SLACK_MS - this.freshness.ageMs,
+      mayWaitMs: () => deps.isReader() ? 0 : intervalMs + RELAY_SLACK_SHARE * deps.propagationMs - this.freshness.ageMs,
       retryMs: RETRY_INTERVAL_MS,
       read: async () => await this.read(),
       onError: (err) => deps.log.error({ err }, 'config_read_failed')
     })
-    deps.eras.onRestored(() => { if (deps.isReader()) this.refreshSoon() })
+    deps.eras.onRestored(() => { if (deps.isReader()) this.readSoon() })
   }
 
   /** Starts polling. */
@@ -101,9 +109,14 @@
     this.listeners.push(listener)
   }
 
-  /** Reads immediately; for a request that the current configuration does not allow. */
-  async refresh (): Promise<void> {
-    await this.poller.readNow()
+  /**
+   * Looks for a newer configuration immediately, for a request that the current one does not allow. The read may be stale and
+   * costs a tenth of a normal one: it can show a newer version, and confirms nothing. A copy that was confirmed more than
+   * `maxAgeMs` ago is read normally.
+   */
+  async refresh (maxAgeMs: number): Promise<void> {
+    if (this.freshness.ageMs > maxAgeMs) await this.poller.readNow()
+    else if (this.looking < MAX_CONCURRENT_LOOKS) await this.lookForNewer()
   }
 
   // A member tells its relay only a configuration that the relay lacks: the store may hold an older one after a restore.
@@ -143,6 +156,16 @@
     this.poller[Symbol.dispose]()
   }
 
+  private async lookForNewer (): Promise<void> {
+    this.looking++
+    try {
+      const result = await this.deps.store.get(this.deps.key, 'stale_ok')
+      if (result.ok && result.val !== undefined && result.val.version > this.storeVersion) this.applyObject(result.val)
+    } finally {
+      this.looking--
+    }
+  }
+
   // A failed read that was started before the copy in use was confirmed tells nothing about the store since then.
   private async read (): Promise<boolean> {
     const readStartedAt = this.freshness.startRead()
@@ -176,11 +199,11 @@
     if (version === this.toldVersion && now - this.toldReadAt < this.intervalMs) return
     this.toldVersion = version
     this.toldReadAt = now
-    this.refreshSoon()
+    this.readSoon()
   }
 
-  private refreshSoon (): void {
-    this.refresh().catch((err: unknown) => this.deps.log.error({ err }, 'config_read_failed'))
+  private readSoon (): void {
+    this.poller.readNow().catch((err: unknown) => this.deps.log.error({ err }, 'config_read_failed'))
   }
 
   private applyObject (object: external.StoredObject): boolean {
--- a/test/serving/config-feed.test.ts
+++ b/test/serving/config-feed.test.ts
@@ -61,6 +61,19 @@
     chai.expect(events).not.to.include('dependency_lost')
   })
 
+  // A stale read of the store is cheap, but must not make an old copy look fresh: keys may have been withdrawn since.
+  it('applies a newer version that it finds for a request without counting the read as a confirmation', async () => {
+    const { virtual, store, feed } = setUp()
+    await Promise.all([store.put(KEY, '1', 'absent'), virtual.advance(10)])
+    feed.start()
+    await virtual.advance(700)
+    await Promise.all([store.put(KEY, '2', store.peek(KEY)!.version), virtual.advance(10)])
+    const ageMs = feed.freshness.ageMs
+    await Promise.all([feed.refresh(1_600), virtual.advance(10)])
+    chai.expect(feed.current()!.config.version).to.equal(2)
+    chai.expect(feed.freshness.ageMs).to.equal(ageMs + 10)
+  })
+
   it('does not replace a version by an older one', async () => {
     const { virtual, store, feed } = setUp()
     await Promise.all([store.put(KEY, '7', 'absent'), virtual.advance(10)])
