Order engines by the measured demand of all gateways

Change: src/capacity counts work at each gateway, tells it to the relays (topic demand) and estimates the engines needed; src/duties orders that many for services with at least 8 engines in each failure domain. Others keep the present plan. Ruled out: sums at relays, which lose or double members that change their relay.

--- /dev/null
+++ b/src/duties/needed-targets.ts
@@ -0,0 +1,56 @@
+/** The need that orders follow: it rises at once, falls when it has been lower for a while, and starts from what is present. */
+import type * as capacity from '../capacity/index.js'
+import type * as capacityPlan from './capacity-plan.js'
+
+/** Part of the need above which a lower one changes nothing. */
+const KEPT_SHARE = 0.95
+
+/** Time for which the need must have been lower, in ms. */
+const LOWERED_AFTER_MS = 3_000
+
+/** Time for which demand must have been seen before anything is released for it, in ms: two windows of the rates. */
+const MIN_OBSERVED_MS = 4_000
+
+/** Time without any work after which a service counts as idle and preemptible targets may replace standard ones, in ms. */
+const IDLE_AFTER_MS = 14_000
+
+/** Follows the need of one service; time is given with each call, in ms on the monotonic clock. */
+export class HeldNeed {
+  private held: capacityPlan.NeededTargets | undefined
+  private lowerSince: number | undefined
+  /** Most that was guaranteed while no demand was known. */
+  private guaranteed = 0
+
+  /** Need while no demand is known: what is present is kept, up to the initial size. */
+  initial (guaranteedNow: number, initialSize: number): capacityPlan.NeededTargets {
+    this.guaranteed = Math.max(this.guaranteed, Math.min(initialSize, guaranteedNow))
+    return this.held ?? { engines: this.guaranteed, meanEngines: 0 }
+  }
+
+  /** Need by demand; of the number present, what may have been needed before the demand was seen is kept. */
+  update (need: capacity.CapacityNeed, observedMs: number, now: number): capacityPlan.NeededTargets {
+    const unseen = observedMs < MIN_OBSERVED_MS ? Infinity : Math.ceil(need.engines * need.unseenFactor)
+    const engines = Math.max(need.engines, Math.min(this.guaranteed, unseen))
+    const { meanEngines } = need
+    const held = this.held ?? { engines, meanEngines }
+    const isLower = engines < held.engines * KEPT_SHARE || (meanEngines < held.meanEngines * KEPT_SHARE && engines <= held.engines)
+    if (!isLower) this.lowerSince = undefined
+    else this.lowerSince ??= now
+    const isLowered = this.lowerSince !== undefined && now - this.lowerSince >= LOWERED_AFTER_MS
+    if (isLowered) this.lowerSince = undefined
+    this.held = isLowered ? { engines, meanEngines } : { engines: Math.max(engines, held.engines), meanEngines: Math.max(meanEngines, held.meanEngines) }
+    return this.held
+  }
+
+  /** Whether enough is known for a release. */
+  static maySettle (observedMs: number | undefined, idleMs: number): boolean {
+    return observedMs === undefined ? idleMs >= IDLE_AFTER_MS : observedMs >= MIN_OBSERVED_MS
+  }
+
+  /** Forgets the need: another gateway decides meanwhile. */
+  reset (): void {
+    this.held = undefined
+    this.lowerSince = undefined
+    this.guaranteed = 0
+  }
+}
--- a/src/duties/order-plan.ts
+++ b/src/duties/order-plan.ts
@@ -31,10 +31,18 @@
   readonly domains: readonly DomainTargets[]
 }
 
+/** Limits, and the targets in each failure domain. */
+export type DomainPrices = Pick<OrderPlanInput, 'limits' | 'domains'>
+
+/** Whether preemptible targets are offered, and cheap enough to be ordered. */
+export function preemptibleTargetsPay ({ preemptiblePrice }: serving.OrderLimits): boolean {
+  return preemptiblePrice !== undefined && preemptiblePrice <= MAX_PREEMPTIBLE_PRICE_SHARE
+}
+
 /** Returns the desired number of targets of each kind in each failure domain; empty when preemptible targets do not pay. */
 export function planOrders (input: OrderPlanInput): types.DesiredTargets[] {
   const { limits, domains, service } = input
-  if (limits.preemptiblePrice === undefined || limits.preemptiblePrice > MAX_PREEMPTIBLE_PRICE_SHARE) return []
+  if (!preemptibleTargetsPay(limits)) return []
   const standard = planStandard(input)
   // With one domain lost, the others still provide the capacity.
   const preemptible = Math.ceil(input.size * CAPACITY_MARGIN / Math.max(1, domains.length - 1))
@@ -55,14 +63,19 @@
   return standard
 }
 
-// The cheapest domains first, one in each at a time.
-function addMissing (standard: number[], needed: number, input: OrderPlanInput): void {
+/** Indexes of the domains, the cheapest first. */
+export function indexesByPrice (input: DomainPrices): number[] {
+  return input.domains.map((_, index) => index).sort((a, b) => priceOf(input, a) - priceOf(input, b))
+}
+
+/** Adds standard targets up to the number needed, in the cheapest domains first, one in each at a time. */
+export function addMissing (standard: number[], needed: number, input: DomainPrices): void {
   const { domains, limits } = input
-  const indexesByPrice = domains.map((_, index) => index).sort((a, b) => priceOf(input, a) - priceOf(input, b))
+  const indexes = indexesByPrice(input)
   const room = (index: number): number => limits.max - domains[index]!.preemptible - standard[index]!
   let missing = needed - sum(standard)
-  while (missing > 0 && indexesByPrice.some((index) => room(index) > 0)) {
-    for (const index of indexesByPrice) {
+  while (missing > 0 && indexes.some((index) => room(index) > 0)) {
+    for (const index of indexes) {
       if (missing <= 0 || room(index) <= 0) continue
       standard[index]!++
       missing--
@@ -82,7 +95,8 @@
   }
 }
 
-function priceOf ({ domains, limits }: OrderPlanInput, index: number): number {
+/** Price of a target in a domain. */
+export function priceOf ({ domains, limits }: DomainPrices, index: number): number {
   return limits.domainPrices.get(domains[index]!.domain) ?? 1
 }
 
--- a/src/duties/target-orders.ts
+++ b/src/duties/target-orders.ts
@@ -5,8 +5,10 @@
 import type * as serving from '../serving/index.js'
 import * as time from '../time/index.js'
 import * as z from 'zod'
+import type * as capacityOrders from './capacity-orders.js'
 import type * as lease from './lease.js'
 import * as orderPlan from './order-plan.js'
+import * as orderRecord from './order-record.js'
 import * as storedJson from './stored-json.js'
 import type * as types from './types.js'
 
@@ -19,15 +21,6 @@
 /** Time without a change of the number of targets after which the initial sizes are stored, in ms. */
 const SIZE_SETTLE_MS = 1_600
 
-/** Time, on top of the delivery time, after which an unfilled order is placed again, in ms. */
-const REORDER_MARGIN_MS = 1_500
-
-/** Time after which an order that was not accepted is placed again, in ms. */
-const FAILED_RETRY_MS = 2_000
-
-/** Time for which there must be more targets than desired before an order releases the surplus, in ms. */
-const RELEASE_DELAY_MS = 1_500
-
 /** Time after a restore of the store for which nothing is ordered, in ms; the targets write their records again in it. */
 const RESTORE_SETTLE_MS = 2_500
 
@@ -44,6 +37,8 @@
   readonly fleet: fleet.Fleet
   readonly services: () => Iterable<serving.ServingService>
   readonly domains: readonly string[]
+  /** Orders by demand; absent where no demand is measured. */
+  readonly capacity?: capacityOrders.CapacityOrders | undefined
   readonly log: log.Logger
 }
 
@@ -81,8 +76,10 @@
 
   private async check (): Promise<void> {
     this.trackTargetCount()
+    this.deps.capacity?.observe()
     if (this.deps.lease.stamp() === undefined) {
       this.surplusSince.clear()
+      this.deps.capacity?.suspend()
       this.sizesEra = undefined
       return
     }
@@ -91,7 +88,11 @@
     if (services.length === 0) return
     const sizes = await this.confirmedSizes(services)
     if (sizes === undefined) return
-    for (const service of services) await this.orderTargets(service, sizes[service.name] ?? 0)
+    for (const service of services) {
+      const size = sizes[service.name] ?? 0
+      if (this.deps.capacity?.appliesTo(service, size) === true) await this.deps.capacity.order(service, size)
+      else await this.orderTargets(service, size)
+    }
   }
 
   private onRestored (era: number): void {
@@ -161,7 +162,7 @@
     const stamp = this.deps.lease.stamp()
     if (stamp === undefined) return
     const result = await this.deps.dutyApi.orderTargets(stamp, desired)
-    this.placedOrders.set(key, { count: desired.count, reorderAt: now + (result.ok ? deliveryMs + REORDER_MARGIN_MS : FAILED_RETRY_MS) })
+    this.placedOrders.set(key, { count: desired.count, reorderAt: now + (result.ok ? deliveryMs + orderRecord.REORDER_MARGIN_MS : orderRecord.FAILED_RETRY_MS) })
     this.deps.log.info({ ...desired, present: presentCount, token: stamp.token, outcome: result.ok ? 'accepted' : result.val.message }, 'targets_ordered')
   }
 
@@ -169,6 +170,6 @@
   private surplusPersists (key: string, now: number): boolean {
     const since = this.surplusSince.get(key)
     if (since === undefined) this.surplusSince.set(key, now)
-    return since !== undefined && now - since >= RELEASE_DELAY_MS
+    return since !== undefined && now - since >= orderRecord.RELEASE_DELAY_MS
   }
 }
--- a/src/forward/attempt-recorder.ts
+++ b/src/forward/attempt-recorder.ts
@@ -1,5 +1,6 @@
 /** What one attempt tells: about its target, about the segments of its prompt, and for metrics and logs. */
 import type * as calls from '../call/index.js'
+import type * as capacity from '../capacity/index.js'
 import type * as errors from '../errors/index.js'
 import * as fleet from '../fleet/index.js'
 import type * as log from '../log/index.js'
@@ -24,6 +25,8 @@
   readonly env: time.Env
   readonly fleet: fleet.Fleet
   readonly quarantine: Pick<quarantine.SegmentQuarantine, 'noteLost' | 'noteAnswered'>
+  /** Counts the work of model calls; absent where it is not measured. */
+  readonly demand?: Pick<capacity.DemandMeter, 'noteAttempt'> | undefined
   readonly log: log.Logger
   readonly metrics: metrics.Metrics
   /** Closes the idle connections to an address. */
@@ -64,6 +67,7 @@
     this.countPlacement(sent)
     this.logEnd(sent, result, endedAt)
     this.recordOutcome(sent, result, endedAt)
+    if (result.kind !== 'not_run') this.countWork(sent, endedAt)
     if (sent.options.prefillOnly !== true) this.noteExecution(sent, result)
     if (sent.options.fetchFrom === undefined) this.recordPrefill(sent, prefillMsOf(result, sent.attempt, endedAt - sent.sentAt))
   }
@@ -106,6 +110,11 @@
     if (missingMs !== undefined) metrics.count('godwitpoint_sends_to_missing_targets_total')
   }
 
+  private countWork ({ attempt: { firstEventAt }, state, options, prefillTokens, tokensAhead, sentAt }: SentAttempt, endedAt: number): void {
+    if (this.call.service.engine === undefined) return
+    this.deps.demand?.noteAttempt({ call: this.call, target: state.record, prefillOnly: options.prefillOnly === true, prefillTokens, tokensAhead, sentAt, firstEventAt, endedAt })
+  }
+
   private logEnd (sent: SentAttempt, result: attempt.AttemptResult, endedAt: number): void {
     const { attempt: ended, run, options, sentAt } = sent
     const { call, progress } = this
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -35,6 +35,8 @@
   readonly env: time.Env
   readonly feed: serving.ConfigFeed
   readonly forwarder: forward.Forwarder
+  /** Called when a call that was admitted is refused. */
+  readonly onRefused?: ((call: calls.Call, reason: errors.RefusalReason) => void) | undefined
   readonly bounds: GatewayBounds
   /** Deadline of the calls that arrive while this process stops, on the monotonic clock; undefined while it is not stopping. */
   readonly callsEndAt: (streaming: boolean) => number | undefined
@@ -54,7 +56,9 @@
     const authorized = await this.authorize(req)
     if (authorized instanceof errors.Refusal) return authorized
     const call = this.createCall(req, body, authorized, arrivedAt)
-    return await this.running.run(reply, signal, async (ending) => await this.deps.forwarder.forward(call, reply, ending))
+    const refused = await this.running.run(reply, signal, async (ending) => await this.deps.forwarder.forward(call, reply, ending))
+    if (refused !== undefined) this.deps.onRefused?.(call, refused.reason)
+    return refused
   }
 
   /** Ends the calls whose response has not started; streams that have begun go on. */
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -1,4 +1,5 @@
 /** A gateway process: composes its components and stops them in order. */
+import * as capacity from '../capacity/index.js'
 import * as directory from '../directory/index.js'
 import * as duties from '../duties/index.js'
 import * as exchange from '../exchange/index.js'
@@ -88,6 +89,8 @@
   private readonly usageLedger: duties.UsageLedger
   private readonly usageCloser: duties.UsageCloser
   private readonly targetOrders: duties.TargetOrders
+  private readonly demandMeter: capacity.DemandMeter
+  private readonly demand: capacity.DemandTopic
   private readonly budgets = new Map<string, retry.SharedRetryBudget>()
   private listening = false
   private stopTimes: stopTimes.StopTimes | undefined
@@ -109,7 +112,9 @@
     this.usageLedger = new duties.UsageLedger({ env, store, eras: deps.eras, name: `${settings.name}.${settings.incarnation}`, windowMs, isRelay, log })
     this.quarantine = new quarantine.SegmentQuarantine({ clock: env.clock, selfName: settings.name, gateways: () => this.directory.gatewayNames(), log })
     this.quarantineRecords = new quarantine.QuarantineRecords({ env, store, eras: deps.eras, quarantine: this.quarantine, log })
-    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine]
+    this.demandMeter = new capacity.DemandMeter(env.clock, this.fleet.speeds)
+    this.demand = new capacity.DemandTopic({ clock: env.clock, gateway: settings.name, incarnation: settings.incarnation, meter: this.demandMeter })
+    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine, this.demand]
     this.exchange = new exchange.Exchange({ env, elapsed: this.elapsed, peers: this.peers, self, roster: this.roster, topics, ready: () => this.ready, log })
     this.directory = new directory.Directory({ env, store, eras: deps.eras, self, roster: this.roster, isRelay, ready: () => this.ready, log })
     this.cacheFeed = this.createCacheFeed()
@@ -226,7 +231,10 @@
   private createTargetOrders (): duties.TargetOrders {
     const { env, store, dutyApi, settings, log } = this.deps
     const services = (): Iterable<serving.ServingService> => this.feed.current()?.config.services.values() ?? []
-    return new duties.TargetOrders({ env, store, eras: this.deps.eras, lease: this.lease, dutyApi, fleet: this.fleet, services, domains: settings.domains, log })
+    const shared = { lease: this.lease, dutyApi, fleet: this.fleet, services, domains: settings.domains, log }
+    const reachesMost = (): boolean => 2 * this.roster.upWithin(0).length >= this.roster.all().length
+    const capacityOrders = new duties.CapacityOrders({ ...shared, clock: env.clock, demand: this.demand, isRelay: () => this.exchange.isRelay, reachesMost, metrics: this.deps.metrics })
+    return new duties.TargetOrders({ ...shared, env, store, eras: this.deps.eras, capacity: capacityOrders })
   }
 
   private createGateway (): gateway.Gateway {
@@ -243,6 +251,7 @@
       budgetFor: (service) => this.budgetFor(service),
       fleet: this.fleet,
       quarantine: this.quarantine,
+      demand: this.demandMeter,
       listAgeMs: () => this.fleetFeed.listAgeMs,
       configVersion: () => this.feed.current()?.config.version,
       log,
@@ -250,7 +259,7 @@
       dropIdleConnections: (address) => this.pool.dropIdleConnections(address)
     })
     const callsEndAt = (streaming: boolean): number | undefined => streaming ? this.stopTimes?.responsesEndAt : this.stopTimes?.callsEndAt
-    return new gateway.Gateway({ env, feed: this.feed, forwarder, bounds: settings.bounds, callsEndAt, refusing: () => this.refusing })
+    return new gateway.Gateway({ env, feed: this.feed, forwarder, bounds: settings.bounds, callsEndAt, refusing: () => this.refusing, onRefused: (call, reason) => this.demandMeter.noteRefused(call, reason) })
   }
 
   private budgetFor (service: string): retry.SharedRetryBudget {
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -28,6 +28,11 @@
     this.counters.set(series, (this.counters.get(series) ?? 0) + by)
   }
 
+  /** Sets the gauge `name` with an optional `label`. */
+  set (name: string, label: string, value: number): void {
+    this.counters.set(this.boundedSeriesName(name, label), value)
+  }
+
   /** Counts a refusal by reason and step. */
   countRefusal (reason: RefusalReason, step: Step): void {
     this.count('godwitpoint_refusals_total', `reason="${reason}",step="${step}"`)
