--- a/test/support/gateway-region.ts
+++ b/test/support/gateway-region.ts
@@ -1,4 +1,5 @@
 /** Gateways that share a store and exchange with each other, in virtual time: directory, exchange, feeds, load and usage. */
+import * as capacity from '../../src/capacity/index.js'
 import * as directory from '../../src/directory/index.js'
 import * as duties from '../../src/duties/index.js'
 import * as errors from '../../src/errors/index.js'
@@ -46,6 +47,8 @@
   readonly quarantine: quarantine.SegmentQuarantine
   readonly ledger: duties.UsageLedger
   readonly collector: duties.UsageCollector
+  readonly meter: capacity.DemandMeter
+  readonly demand: capacity.DemandTopic
   /** Whether the process runs, and whether it reaches the store. */
   running = true
   storeReachable = true
@@ -69,7 +72,9 @@
     this.ledger = new duties.UsageLedger({ env, store, eras, name: `${name}.${incarnation}`, windowMs: WINDOW_MS, isRelay, log: silent })
     this.collector = new duties.UsageCollector({ peers, ledger: this.ledger, eras, relayAddresses: () => this.exchange.fellowAddresses(), log: silent })
     this.quarantine = new quarantine.SegmentQuarantine({ clock: virtual, selfName: name, gateways: () => this.directory.gatewayNames(), log: silent })
-    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.ledger, this.quarantine]
+    this.meter = new capacity.DemandMeter(virtual, this.fleet.speeds)
+    this.demand = new capacity.DemandTopic({ clock: virtual, gateway: name, incarnation, meter: this.meter })
+    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.ledger, this.quarantine, this.demand]
     this.exchange = new exchange.Exchange({ env, elapsed, peers, self, roster: this.roster, topics, ready: () => this.ready, log: silent })
     this.directory = new directory.Directory({ env, store, eras, self, roster: this.roster, isRelay, ready: () => this.ready, log: logger })
     for (const task of [this.feed, this.fleetFeed, this.directory, this.exchange, this.ledger]) task.start()
