--- a/src/capacity/demand-history.ts
+++ b/src/capacity/demand-history.ts
@@ -5,7 +5,7 @@
 const WINDOW_MS = 2_000
 
 /** Time for which a rate counts in full, in ms: longer than a wave of 11 s, and as long as the longest burst. */
-const HOLD_MS = 14_000
+const HOLD_MS = 20_000
 
 /** Time after {@link HOLD_MS} in which a rate comes to count half, in ms. */
 const HALF_LIFE_MS = 10_000
--- a/src/duties/capacity-plan.ts
+++ b/src/duties/capacity-plan.ts
@@ -10,7 +10,7 @@
  * Capacity for which preemptible targets are ordered, and below which no standard ones are released, as a multiple of the need:
  * after the crash of a few, no standard ones are ordered again.
  */
-const KEPT_MARGIN = 1.05
+export const KEPT_MARGIN = 1.05
 
 /** A plan for more domains is preferred while it costs at most this many times as much: it loses less at once. */
 const SPREAD_COST_FACTOR = 1.03
--- a/src/duties/needed-targets.ts
+++ b/src/duties/needed-targets.ts
@@ -1,9 +1,9 @@
 /** The need that orders follow: it rises at once, falls when it has been lower for a while, and starts from what is present. */
 import type * as capacity from '../capacity/index.js'
-import type * as capacityPlan from './capacity-plan.js'
+import * as capacityPlan from './capacity-plan.js'
 
 /** Part of the need above which a lower one changes nothing. */
-const KEPT_SHARE = 0.95
+const KEPT_SHARE = 0.87
 
 /** Time for which the need must have been lower, in ms. */
 const LOWERED_AFTER_MS = 3_000
@@ -18,12 +18,12 @@
 export class HeldNeed {
   private held: capacityPlan.NeededTargets | undefined
   private lowerSince: number | undefined
-  /** Most that was guaranteed while no demand was known. */
+  /** Highest need that the targets present, up to the initial size, would have met. */
   private guaranteed = 0
 
   /** Need while no demand is known: what is present is kept, up to the initial size. */
   initial (guaranteedNow: number, initialSize: number): capacityPlan.NeededTargets {
-    this.guaranteed = Math.max(this.guaranteed, Math.min(initialSize, guaranteedNow))
+    this.guaranteed = Math.max(this.guaranteed, Math.floor(Math.min(initialSize, guaranteedNow) / capacityPlan.KEPT_MARGIN))
     return this.held ?? { engines: this.guaranteed, meanEngines: 0 }
   }
 
