Simplify the supply of preemptible targets; docs of the demand-based number of targets

An order that is not filled after its delivery time shows both late and reclaimed targets, so a separate detection of reclaims had no effect (it could be removed without a failing test); likewise taking back orders in flight.

--- a/src/duties/capacity-plan.ts
+++ b/src/duties/capacity-plan.ts
@@ -115,7 +115,7 @@
   // A loss that has happened is the one that the need is met without.
   const isLost = domains.some((domain, index) => domain.supply === 'lost' && listed[index]! < planned[index]! / 2)
   orderPlan.addMissing(standard, missing(need, expected, isLost ? 0 : 1), { domains, limits })
-  if (domains.every((domain) => domain.supply !== 'lost')) removeSurplus(standard, missing(need, listed, 1, KEPT_MARGIN), listed, input)
+  removeSurplus(standard, missing(need, listed, 1, KEPT_MARGIN), listed, input)
   return standard
 }
 
--- a/src/duties/order-record.ts
+++ b/src/duties/order-record.ts
@@ -14,7 +14,6 @@
 
 interface SentOrder {
   readonly count: number
-  readonly present: number
   readonly mayTakeEffect: boolean
   readonly repeatAt: number
 }
@@ -24,29 +23,21 @@
   private last: SentOrder | undefined
   private surplusSince: number | undefined
 
-  /** Notes an order that was sent while `present` targets were listed. */
-  note (count: number, present: number, outcome: OrderOutcome, deliveryMs: number, now: number): void {
+  /** Notes an order that was sent. */
+  note (count: number, outcome: OrderOutcome, deliveryMs: number, now: number): void {
     const mayTakeEffect = outcome === 'accepted' || outcome === 'unknown'
-    this.last = { count, present, mayTakeEffect, repeatAt: now + (outcome === 'accepted' ? deliveryMs + REORDER_MARGIN_MS : FAILED_RETRY_MS) }
+    this.last = { count, mayTakeEffect, repeatAt: now + (outcome === 'accepted' ? deliveryMs + REORDER_MARGIN_MS : FAILED_RETRY_MS) }
   }
 
-  /** Lowest and highest number that there may be soon: of those listed, and of the order that is being carried out. */
+  /** Lowest number that there may be soon: of those listed, and of the order that is being carried out. */
   lowest (present: number, now: number): number {
-    return Math.min(present, this.pending(now)?.count ?? present)
+    const isPending = this.last?.mayTakeEffect === true && now < this.last.repeatAt
+    return isPending ? Math.min(present, this.last!.count) : present
   }
 
-  highest (present: number, now: number): number {
-    return Math.max(present, this.pending(now)?.count ?? present)
-  }
-
-  /** Number ordered last; undefined before the first order. */
-  get ordered (): number | undefined {
-    return this.last?.count
-  }
-
-  /** Whether targets that were ordered are not listed although their delivery time has passed. */
-  isOverdue (present: number, now: number): boolean {
-    return this.last !== undefined && this.last.count > this.last.present && present < this.last.count && now >= this.last.repeatAt
+  /** Whether there are fewer targets than were ordered although the delivery time has passed: they are late, or were reclaimed. */
+  areMissing (present: number, now: number): boolean {
+    return this.last !== undefined && present < this.last.count && now >= this.last.repeatAt
   }
 
   /** Whether an order for more targets, or one that takes back a release, is due. */
@@ -55,9 +46,9 @@
     return this.last === undefined || this.last.count !== desired || now >= this.last.repeatAt
   }
 
-  /** Notes whether there are, or will be, more targets than desired; true once that has lasted. */
+  /** Notes whether there are more targets than desired; true once that has lasted. */
   surplusPersists (desired: number, present: number, now: number): boolean {
-    if (desired >= this.highest(present, now)) this.surplusSince = undefined
+    if (desired >= present) this.surplusSince = undefined
     else this.surplusSince ??= now
     return this.surplusSince !== undefined && now - this.surplusSince >= RELEASE_DELAY_MS
   }
@@ -66,8 +57,4 @@
   forgetSurplus (): void {
     this.surplusSince = undefined
   }
-
-  private pending (now: number): SentOrder | undefined {
-    return this.last?.mayTakeEffect === true && now < this.last.repeatAt ? this.last : undefined
-  }
 }
--- a/src/duties/service-capacity.ts
+++ b/src/duties/service-capacity.ts
@@ -93,10 +93,8 @@
 
   /** Notes the outcome of an order. */
   noteOrder ({ desired, present }: PlannedOrder, outcome: orderRecord.OrderOutcome, deliveryMs: number, now: number): void {
-    this.record(desired).note(desired.count, present, outcome, deliveryMs, now)
-    if (!desired.preemptible) return
-    if (desired.count < present) this.supply(desired.domain).noteRelease(desired.count)
-    else if (outcome === 'refused') this.supply(desired.domain).noteLost(now)
+    this.record(desired).note(desired.count, outcome, deliveryMs, now)
+    if (desired.preemptible && desired.count > present && outcome === 'refused') this.supply(desired.domain).noteLost(now)
   }
 
   private estimate (view: CapacityView, demand: capacity.RecentDemand): capacity.CapacityNeed {
@@ -117,8 +115,8 @@
 
   private updateSupply (listed: ListedTargets, desired: readonly types.DesiredTargets[], now: number): void {
     const count = desired.find((targets) => targets.domain === listed.domain && targets.preemptible)?.count ?? 0
-    const isOverdue = this.record({ domain: listed.domain, preemptible: true }).isOverdue(listed.preemptible, now)
-    this.supply(listed.domain).update(listed.preemptible, count, isOverdue, now)
+    const areMissing = this.record({ domain: listed.domain, preemptible: true }).areMissing(listed.preemptible, now)
+    this.supply(listed.domain).update(listed.preemptible, count, areMissing, now)
   }
 
   private raises (desired: readonly types.DesiredTargets[], view: CapacityView, now: number): PlannedOrder[] {
@@ -131,10 +129,7 @@
     const surplus = desired
       .map((targets) => ({ desired: targets, present: presentOf(targets, view) }))
       .filter((order) => this.record(order.desired).surplusPersists(order.desired.count, order.present, now))
-    const isLost = view.domains.some(({ domain }) => this.supply(domain).state(now) === 'lost')
-    const preemptibleMissing = desired.some((targets) => targets.preemptible && this.record(targets).lowest(presentOf(targets, view), now) < targets.count)
-    if (!settled || isLost) return []
-    return this.step(surplus.filter((order) => !order.desired.preemptible || !preemptibleMissing), view, now)
+    return settled ? this.step(surplus, view, now) : []
   }
 
   // Standard targets first; of each kind from the domain with the largest surplus, of several the dearest.
@@ -151,8 +146,7 @@
       left[next]!--
       this.pacer.noteStep(now)
     }
-    // Targets that were ordered and are not there yet are taken back at once.
-    return surplus.flatMap(({ desired, present }, index) => left[index]! < serving[index]! || present === desired.count ? [{ desired: { ...desired, count: left[index]! }, present }] : [])
+    return surplus.flatMap(({ desired, present }, index) => left[index]! < serving[index]! ? [{ desired: { ...desired, count: left[index]! }, present }] : [])
   }
 
   private record ({ domain, preemptible }: Pick<types.DesiredTargets, 'domain' | 'preemptible'>): orderRecord.OrderRecord {
--- a/test/capacity/demand.test.ts
+++ b/test/capacity/demand.test.ts
@@ -110,6 +110,7 @@
     relay.apply(linkTo('m', 'member'), await told(member, 'relay'))
     holder.apply(linkTo('r', 'fellow'), await told(relay, 'fellow'))
     chai.expect(holder.segmentTokens('s')).to.equal(3_000)
+    chai.expect(await told(holder, 'fellow'), 'rows of a fellow').to.deep.include({ rows: [{ gateway: 'h', incarnation: '1', services: [] }] })
     const { next } = relay.changesSince(linkTo('y', 'fellow'), undefined)!
     chai.expect(relay.changesSince(linkTo('y', 'fellow'), next)).to.equal(undefined)
   })
--- a/test/duties/capacity-orders.test.ts
+++ b/test/duties/capacity-orders.test.ts
@@ -66,6 +66,38 @@
     chai.expect([replay.count(undefined, false), replay.count('c', true)]).to.deep.equal([0, replay.count('w', true)])
   })
 
+  it('orders standard engines at once when reclaimed ones leave too little, without waiting for those that are ordered again', async () => {
+    const replay = await settled({ load: () => 50 })
+    replay.delayOf = (order) => order.preemptible ? undefined : 0
+    replay.reclaim('c')
+    replay.reclaim('e')
+    replay.noneUntil.clear()
+    await replay.run(2)
+    chai.expect(replay.sent.some((order) => !order.preemptible)).to.equal(true)
+  })
+
+  it('releases nothing while most gateways cannot be reached, whose demand may be missing', async () => {
+    let load = 50
+    const replay = await settled({ load: () => load })
+    load = 10
+    replay.reachesMost = false
+    await replay.run(60)
+    chai.expect(replay.sent).to.deep.equal([])
+    replay.reachesMost = true
+    await replay.run(5)
+    chai.expect(replay.sent).not.to.deep.equal([])
+  })
+
+  it('orders standard engines as soon as preemptible ones are refused', async () => {
+    let load = 50
+    const replay = await settled({ load: () => load })
+    for (const domain of replays.DOMAINS) replay.noneUntil.set(domain, Infinity)
+    load = 70
+    await replay.run(6)
+    const [refused, standard] = [true, false].map((preemptible) => replay.sent.find((order) => order.preemptible === preemptible)!)
+    chai.expect(standard!.at - refused!.at).to.be.at.most(1_000)
+  })
+
   it('orders standard engines where a failure domain has no preemptible ones for long', async () => {
     const replay = await settled({ load: () => 50, max: 50 })
     replay.reclaim('c')
@@ -96,7 +128,7 @@
     await replay.run(2)
     load = 20
     replay.isRelay = replay.holdsLease = true
-    await replay.run(4.6)
+    await replay.run(6)
     chai.expect(replay.sent).to.deep.equal([])
     await replay.run(60)
     chai.expect(replay.sent.every((order) => order.count < 42)).to.equal(true)
@@ -112,7 +144,9 @@
 
   it('keeps the initial capacity without traffic, and releases standard engines only for listed preemptible ones', async () => {
     const replay = new replays.Replay({ load: () => 0 })
-    await replay.run(60, () => {
+    await replay.run(13)
+    chai.expect(replay.count(undefined, false), 'before the service counts as idle').to.equal(99)
+    await replay.run(47, () => {
       const preemptible = replays.DOMAINS.map((domain) => replay.count(domain, true))
       const guaranteed = replay.count(undefined, false) + preemptible.reduce((sum, count) => sum + count, 0) - Math.max(...preemptible)
       chai.expect(guaranteed).to.be.at.least(99)
@@ -126,6 +160,9 @@
     await replay.run(40, () => counts.push(replay.count()))
     const released = counts.map((count, index) => (counts[index - 28] ?? count) - count)
     chai.expect(Math.max(...released)).to.be.at.most(0.15 * 198)
+    const lastStandard = replay.sent.filter((order) => !order.preemptible).at(-1)!
+    const firstPreemptible = replay.sent.find((order) => order.preemptible && order.count < 33)!
+    chai.expect(firstPreemptible.at, 'preemptible ones after the standard ones, which cost more').to.be.at.least(lastStandard.at)
   })
 
   it('orders for smaller fleets as before', async () => {
@@ -153,8 +190,8 @@
   }
 
   it('divides preemptible targets among the cheapest domains where that costs less and keeps both conditions', () => {
-    const prices = new Map([['w', 1], ['c', 1], ['e', 9]])
-    chai.expect(plan(40, 0, { domainPrices: prices }, [['w', 0, 42], ['c', 0, 42], ['e', 0, 1]])).to.deep.equal([[0, 42], [0, 42], [0, 1]])
+    const prices = new Map([['w', 9], ['c', 1], ['e', 1]])
+    chai.expect(plan(40, 0, { domainPrices: prices }, [['w', 0, 1], ['c', 0, 42], ['e', 0, 42]])).to.deep.equal([[0, 1], [0, 42], [0, 42]])
     chai.expect(plan(40, 20, {}, [['w', 0, 21], ['c', 0, 21], ['e', 0, 21]])).to.deep.equal([[0, 21], [0, 21], [0, 21]])
   })
 
--- a/test/duties/capacity-replay.ts
+++ b/test/duties/capacity-replay.ts
@@ -54,6 +54,7 @@
   delayOf: (order: duties.DesiredTargets) => number | undefined = () => 0
   holdsLease = true
   isRelay = true
+  reachesMost = true
   paid = 0
   /** Highest share of the engines' time that the load took, from `measureFrom` on. */
   worst = 0
@@ -70,7 +71,7 @@
     const logger = { ...log.SILENT_LOGGER, info: note }
     const eras = new external.StoreEras()
     const shared = { lease: { stamp: () => this.holdsLease ? { holder: 'a', token: 1 } : undefined }, dutyApi: this.dutyApi(), fleet: this.fleet, services: () => [service], domains: DOMAINS, log: logger }
-    const capacityOrders = new duties.CapacityOrders({ ...shared, clock: this.virtual, demand: { total: () => this.work, segmentTokens: () => 0 }, isRelay: () => this.isRelay, reachesMost: () => true, metrics: this.counters })
+    const capacityOrders = new duties.CapacityOrders({ ...shared, clock: this.virtual, demand: { total: () => this.work, segmentTokens: () => 0 }, isRelay: () => this.isRelay, reachesMost: () => this.reachesMost, metrics: this.counters })
     this.list()
     new duties.TargetOrders({ ...shared, env: this.virtual.env(1), store: new standin.MemoryStore(this.virtual).client(eras), eras, capacity: options.presentPlan === true ? undefined : capacityOrders }).start()
   }
