--- a/src/duties/capacity-orders.ts
+++ b/src/duties/capacity-orders.ts
@@ -68,7 +68,7 @@
     const view = this.viewOf(service, initialSize)
     const decision = state.decide(view, this.deps.clock.now())
     this.report(view, decision)
-    for (const order of decision.orders) await this.send(state, order, service.orders.deliveryMs)
+    await Promise.all(decision.orders.map(async (order) => await this.send(state, order, service.orders.deliveryMs)))
   }
 
   private async send (state: serviceCapacity.ServiceCapacity, order: serviceCapacity.PlannedOrder, deliveryMs: number): Promise<void> {
