Count prefill demand in tokens and divide by the speeds known at the decision

A gateway's first calls were counted at the initial speeds, which are wrong by a factor of up to 4; the peak that they made would be held for 20 s.

--- a/src/capacity/capacity-need.ts
+++ b/src/capacity/capacity-need.ts
@@ -39,10 +39,11 @@
 export interface PresentEngines {
   readonly count: number
   readonly mixedCount: number
-  /** Speed of all of them, as a number of mixed engines of mean speed. */
-  readonly capacity: number
-  /** Speed of prefill-only engines as a multiple of that of mixed ones. */
-  readonly prefillSpeedRatio: number
+  /** Tokens per ms that all of them prefill, each at its present speed. */
+  readonly tokensPerMs: number
+  /** The same of a prefill-only engine and of a mixed one, on average. */
+  readonly prefillTokensPerMs: number
+  readonly mixedTokensPerMs: number
 }
 
 /** Input of an estimate. */
@@ -75,16 +76,16 @@
 /** Estimates the need in engines like those that are present, stages and speeds included. */
 export function estimateNeed (input: NeedInput): CapacityNeed {
   const { demand, present, slots, kvCapacityTokens, segmentTokens, initialSize, pressure } = input
-  const capacityOfOne = capacityPerEngine(present)
+  const tokensPerMs = tokensPerMsOfOne(present)
   const mixedShare = Math.max(MIN_MIXED_SHARE, present.mixedCount / Math.max(1, present.count))
-  const forPrefill = demand.peakBusyEngines * pressure / TARGET_UTILIZATION / capacityOfOne
+  const forPrefill = demand.peakPrefillTokens * pressure / TARGET_UTILIZATION / tokensPerMs
   const mixedForSlots = demand.peakSlots / (slots * TARGET_SLOT_SHARE)
   const mixedForKv = demand.peakKvTokens * KV_MARGIN / kvCapacityTokens
   const forSlots = Math.max(mixedForSlots, mixedForKv) / mixedShare
   const forCache = Math.min(initialSize, (demand.peakKvTokens + segmentTokens) * KV_MARGIN / kvCapacityTokens)
   return {
     engines: Math.ceil(Math.max(1, forPrefill, forSlots, forCache)),
-    meanEngines: Math.ceil(demand.meanBusyEngines / MAX_UTILIZATION / capacityOfOne),
+    meanEngines: Math.ceil(demand.meanPrefillTokens / MAX_UTILIZATION / tokensPerMs),
     forPrefill,
     forSlots,
     forCache,
@@ -93,9 +94,9 @@
 }
 
 // Where most of those present only prefill, further ones do not: they count as the usual mixture.
-function capacityPerEngine ({ count, capacity, prefillSpeedRatio }: PresentEngines): number {
-  const ordered = ORDERED_PREFILL_SHARE * prefillSpeedRatio + 1 - ORDERED_PREFILL_SHARE
-  return count === 0 || capacity === 0 ? ordered : Math.min(ordered, capacity / count)
+function tokensPerMsOfOne ({ count, tokensPerMs, prefillTokensPerMs, mixedTokensPerMs }: PresentEngines): number {
+  const ordered = ORDERED_PREFILL_SHARE * prefillTokensPerMs + (1 - ORDERED_PREFILL_SHARE) * mixedTokensPerMs
+  return count === 0 || tokensPerMs === 0 ? ordered : Math.min(ordered, tokensPerMs / count)
 }
 
 /** The factor by which late and refused calls raise the need, `ms` after it was `pressure`. */
--- a/src/capacity/demand-history.ts
+++ b/src/capacity/demand-history.ts
@@ -20,8 +20,9 @@
 export interface WorkRates {
   /** End of the window, in ms on the monotonic clock. */
   readonly at: number
-  /** Mean number of engines that prefill, as mixed engines of mean speed. */
-  readonly busyEngines: number
+  /** Tokens that engines had to prefill, and those of them at mixed engines, per ms. */
+  readonly prefillTokens: number
+  readonly mixedPrefillTokens: number
   /** Mean number of slots of mixed engines in use, and of tokens of running calls. */
   readonly slots: number
   readonly kvTokens: number
@@ -34,11 +35,11 @@
 export interface RecentDemand {
   /** Rates of the last window. */
   readonly latest: WorkRates
-  /** Highest values, which count less as they age. */
-  readonly peakBusyEngines: number
+  /** Highest values, which count less as they age; prefill in tokens per ms. */
+  readonly peakPrefillTokens: number
   readonly peakSlots: number
   readonly peakKvTokens: number
-  readonly meanBusyEngines: number
+  readonly meanPrefillTokens: number
   /** Time for which work has been seen, in ms. */
   readonly observedMs: number
 }
@@ -56,8 +57,8 @@
   private since: number | undefined
   private notedSince: number | undefined
 
-  /** Notes the counters; `prefillSpeedRatio` is the speed of prefill-only engines as a multiple of that of mixed ones. */
-  note (total: work.Work, prefillSpeedRatio: number, now: number): void {
+  /** Notes the counters. */
+  note (total: work.Work, now: number): void {
     const last = this.samples.at(-1)
     if (last !== undefined && this.since === undefined && total.calls > last.total.calls) this.since = last.at
     this.notedSince ??= now
@@ -65,7 +66,7 @@
     while (this.samples.length > 2 && now - this.samples[1]!.at >= WINDOW_MS) this.samples.shift()
     const first = this.samples[0]!
     if (this.since === undefined || now - first.at < WINDOW_MS) return
-    this.rates.push(ratesBetween(first, { at: now, total }, prefillSpeedRatio))
+    this.rates.push(ratesBetween(first, { at: now, total }))
     while (now - this.rates[0]!.at > MEMORY_MS) this.rates.shift()
   }
 
@@ -89,10 +90,10 @@
     const peak = (value: (rates: WorkRates) => number): number => Math.max(...this.rates.map((rates) => value(rates) * weightOf(now - rates.at)))
     return {
       latest,
-      peakBusyEngines: peak((rates) => rates.busyEngines),
+      peakPrefillTokens: peak((rates) => rates.prefillTokens),
       peakSlots: peak((rates) => rates.slots),
       peakKvTokens: peak((rates) => rates.kvTokens),
-      meanBusyEngines: this.rates.reduce((sum, rates) => sum + rates.busyEngines, 0) / this.rates.length,
+      meanPrefillTokens: this.rates.reduce((sum, rates) => sum + rates.prefillTokens, 0) / this.rates.length,
       observedMs: now - this.since
     }
   }
@@ -102,12 +103,13 @@
   return ageMs <= HOLD_MS ? 1 : 0.5 ** ((ageMs - HOLD_MS) / HALF_LIFE_MS)
 }
 
-function ratesBetween (from: Sample, to: Sample, prefillSpeedRatio: number): WorkRates {
+function ratesBetween (from: Sample, to: Sample): WorkRates {
   const ms = to.at - from.at
   const done = work.workSince(to.total, from.total)
   return {
     at: to.at,
-    busyEngines: (done.prefillMs * prefillSpeedRatio + done.mixedPrefillMs) / ms,
+    prefillTokens: (done.prefillTokens + done.mixedPrefillTokens) / ms,
+    mixedPrefillTokens: done.mixedPrefillTokens / ms,
     slots: done.slotMs / ms,
     kvTokens: done.kvTokenSeconds * 1_000 / ms,
     callsPerS: done.calls * 1_000 / ms,
--- a/src/capacity/demand-meter.ts
+++ b/src/capacity/demand-meter.ts
@@ -57,15 +57,14 @@
   noteAttempt (ended: EndedAttempt): void {
     const { call, target, prefillOnly, prefillTokens, sentAt, endedAt } = ended
     const stage = target.stage ?? 'decode'
-    const prefillMs = this.prefillMs(call, stage, prefillTokens)
     const ms = endedAt - sentAt
     this.add(call, {
-      prefillMs: stage === 'prefill' ? prefillMs : 0,
-      mixedPrefillMs: stage === 'prefill' ? 0 : prefillMs,
+      prefillTokens: stage === 'prefill' ? prefillTokens : 0,
+      mixedPrefillTokens: stage === 'prefill' ? 0 : prefillTokens,
       slotMs: stage === 'prefill' ? 0 : ms,
       kvTokenSeconds: prefillOnly ? 0 : (call.prompt?.promptTokens ?? 0) * ms / MS_PER_S,
       calls: prefillOnly ? 0 : 1,
-      late: this.isLateByQueueing(ended, prefillMs) ? 1 : 0,
+      late: this.isLateByQueueing(ended) ? 1 : 0,
       refused: 0
     })
     if (!prefillOnly) this.noteSegments(call, endedAt)
@@ -75,7 +74,7 @@
   noteRefused (call: calls.Call, reason: errors.RefusalReason): void {
     if (call.service.engine === undefined || !CAPACITY_REASONS.has(reason)) return
     const ownTokens = call.prompt?.segments.at(-1)?.tokens ?? call.prompt?.promptTokens ?? 0
-    this.add(call, { ...work.NO_WORK, mixedPrefillMs: this.prefillMs(call, 'decode', ownTokens), calls: 1, refused: 1 })
+    this.add(call, { ...work.NO_WORK, mixedPrefillTokens: ownTokens, calls: 1, refused: 1 })
   }
 
   /** Services with calls so far. */
@@ -94,15 +93,12 @@
     return this.services.get(service)?.work ?? work.NO_WORK
   }
 
-  private prefillMs (call: calls.Call, stage: serving.Stage, tokens: number): number {
-    return tokens / this.speeds.of(call.service.name, stage).tokensPerMs(this.clock.now())
-  }
-
   // Late behind other prompts or by waiting before the send, and the prefill alone would have been in time.
-  private isLateByQueueing ({ call, prefillOnly, tokensAhead, sentAt, firstEventAt, endedAt }: EndedAttempt, prefillMs: number): boolean {
+  private isLateByQueueing ({ call, target, prefillOnly, prefillTokens, tokensAhead, sentAt, firstEventAt, endedAt }: EndedAttempt): boolean {
     const { sloMs } = call.route
     if (prefillOnly || (firstEventAt ?? endedAt) - call.arrivedAt <= sloMs) return false
     const isQueued = tokensAhead > 0 || sentAt - call.arrivedAt > sloMs * MAX_UNSENT_SLO_SHARE
+    const prefillMs = prefillTokens / this.speeds.of(call.service.name, target.stage ?? 'decode').tokensPerMs(endedAt)
     return isQueued && prefillMs <= sloMs * MAX_PREFILL_SLO_SHARE
   }
 
--- a/src/capacity/demand-topic.ts
+++ b/src/capacity/demand-topic.ts
@@ -145,10 +145,10 @@
   private dueSegments (link: exchange.Link): SegmentRows | undefined {
     const now = this.deps.clock.now()
     if (now - (this.segmentsSentAt.get(link.gateway) ?? -Infinity) < SEGMENTS_INTERVAL_MS) return undefined
-    this.segmentsSentAt.set(link.gateway, now)
     const members = [...this.told.values()].filter((entry) => entry.kind === 'member')
     const services = new Set([...this.deps.meter.serviceNames(), ...members.flatMap((entry) => Object.keys(entry.segments))])
     if (services.size === 0) return undefined
+    this.segmentsSentAt.set(link.gateway, now)
     return Object.fromEntries([...services].map((service) => {
       return [service, segmentSample.mergeSamples([this.deps.meter.own(service).segments, ...members.map((entry) => entry.segments[service] ?? [])])]
     }))
--- a/src/capacity/work.ts
+++ b/src/capacity/work.ts
@@ -1,23 +1,22 @@
 /** Work that calls give to the engines of a service, as counters that only grow. */
 
 /** The counters, in the order in which gateways exchange them. */
-export const WORK_FIELDS = ['prefillMs', 'mixedPrefillMs', 'slotMs', 'kvTokenSeconds', 'calls', 'late', 'refused'] as const
+export const WORK_FIELDS = ['prefillTokens', 'mixedPrefillTokens', 'slotMs', 'kvTokenSeconds', 'calls', 'late', 'refused'] as const
 
 /**
- * Counters of one service: prefill time at prefill-only engines and at mixed ones of mean speed, time in the slots of mixed
- * engines, tokens of running calls over time, calls that ended, and those among them that were late or refused for want of
- * capacity.
+ * Counters of one service: tokens that prefill-only engines and mixed ones had to prefill, time in the slots of mixed engines,
+ * tokens of running calls over time, calls that ended, and those among them that were late or refused for want of capacity.
  */
 export type Work = Readonly<Record<typeof WORK_FIELDS[number], number>>
 
 /** No work. */
-export const NO_WORK: Work = { prefillMs: 0, mixedPrefillMs: 0, slotMs: 0, kvTokenSeconds: 0, calls: 0, late: 0, refused: 0 }
+export const NO_WORK: Work = { prefillTokens: 0, mixedPrefillTokens: 0, slotMs: 0, kvTokenSeconds: 0, calls: 0, late: 0, refused: 0 }
 
 /** Combines two sets of counters, counter by counter. */
 export function combineWork (a: Work, b: Work, combine: (a: number, b: number) => number): Work {
   return {
-    prefillMs: combine(a.prefillMs, b.prefillMs),
-    mixedPrefillMs: combine(a.mixedPrefillMs, b.mixedPrefillMs),
+    prefillTokens: combine(a.prefillTokens, b.prefillTokens),
+    mixedPrefillTokens: combine(a.mixedPrefillTokens, b.mixedPrefillTokens),
     slotMs: combine(a.slotMs, b.slotMs),
     kvTokenSeconds: combine(a.kvTokenSeconds, b.kvTokenSeconds),
     calls: combine(a.calls, b.calls),
--- a/src/duties/capacity-orders.ts
+++ b/src/duties/capacity-orders.ts
@@ -52,7 +52,7 @@
       if (!isOrdered(service)) continue
       const state = this.stateOf(service.name)
       if (!this.deps.isRelay()) state.forgetDemand()
-      else state.observe(this.deps.demand.total(service.name), this.prefillSpeedRatio(service.name, now), now)
+      else state.observe(this.deps.demand.total(service.name), now)
     }
   }
 
@@ -98,21 +98,17 @@
 
   private presentEngines (service: string, targets: readonly fleet.TargetState[]): capacity.PresentEngines {
     const now = this.deps.clock.now()
-    const mixedSpeed = this.deps.fleet.speeds.of(service, 'decode').tokensPerMs(now)
+    const { speeds } = this.deps.fleet
     const serving = targets.filter((target) => !target.record.leaving)
     return {
       count: serving.length,
       mixedCount: serving.filter((target) => target.record.stage !== 'prefill').length,
-      capacity: serving.reduce((sum, target) => sum + target.prefillTokensPerMs(now), 0) / mixedSpeed,
-      prefillSpeedRatio: this.prefillSpeedRatio(service, now)
+      tokensPerMs: serving.reduce((sum, target) => sum + target.prefillTokensPerMs(now), 0),
+      prefillTokensPerMs: speeds.of(service, 'prefill').tokensPerMs(now),
+      mixedTokensPerMs: speeds.of(service, 'decode').tokensPerMs(now)
     }
   }
 
-  private prefillSpeedRatio (service: string, now: number): number {
-    const { speeds } = this.deps.fleet
-    return speeds.of(service, 'prefill').tokensPerMs(now) / speeds.of(service, 'decode').tokensPerMs(now)
-  }
-
   private report (view: serviceCapacity.CapacityView, decision: serviceCapacity.CapacityDecision): void {
     const { metrics, log } = this.deps
     const { demand, estimate, need, desired, orders } = decision
@@ -130,11 +126,12 @@
       mean_need: need.meanEngines,
       present: view.present.count,
       present_mixed: view.present.mixedCount,
-      present_capacity: round(view.present.capacity),
+      present_tokens_per_ms: round(view.present.tokensPerMs),
       desired: desiredCount,
-      busy: round(demand?.latest.busyEngines),
-      peak_busy: round(demand?.peakBusyEngines),
-      mean_busy: round(demand?.meanBusyEngines),
+      tokens_per_ms: round(demand?.latest.prefillTokens),
+      mixed_tokens_per_ms: round(demand?.latest.mixedPrefillTokens),
+      peak_tokens_per_ms: round(demand?.peakPrefillTokens),
+      mean_tokens_per_ms: round(demand?.meanPrefillTokens),
       peak_slots: round(demand?.peakSlots),
       peak_kv_tokens: round(demand?.peakKvTokens),
       segment_tokens: round(view.segmentTokens),
--- a/src/duties/service-capacity.ts
+++ b/src/duties/service-capacity.ts
@@ -58,9 +58,9 @@
   private pressure = 1
   private observedAt: number | undefined
 
-  /** Notes the work of all gateways so far; `prefillSpeedRatio`: speed of prefill-only engines over that of mixed ones. */
-  observe (total: capacity.Work, prefillSpeedRatio: number, now: number): void {
-    this.history.note(total, prefillSpeedRatio, now)
+  /** Notes the work of all gateways so far. */
+  observe (total: capacity.Work, now: number): void {
+    this.history.note(total, now)
     const lateShare = this.history.recent(now)?.latest.lateShare ?? 0
     this.pressure = capacity.nextPressure(this.pressure, lateShare, now - (this.observedAt ?? now))
     this.observedAt = now
--- a/test/capacity/demand.test.ts
+++ b/test/capacity/demand.test.ts
@@ -19,11 +19,11 @@
 }
 
 describe('DemandMeter', () => {
-  it('counts prefill at the speed of the stage, and slots and KV cache from send to end', () => {
+  it('counts prefill by the stage of the engine, and slots and KV cache from send to end', () => {
     const meter = aMeter(new time.VirtualTime())
     meter.noteAttempt(anAttempt())
     meter.noteAttempt(anAttempt({ target: build.aTarget('p', { stage: 'prefill' }), prefillOnly: true }))
-    chai.expect(meter.workOf('s')).to.deep.equal({ prefillMs: 40, mixedPrefillMs: 100, slotMs: 600, kvTokenSeconds: 2_400, calls: 1, late: 0, refused: 0 })
+    chai.expect(meter.workOf('s')).to.deep.equal({ prefillTokens: 4_000, mixedPrefillTokens: 4_000, slotMs: 600, kvTokenSeconds: 2_400, calls: 1, late: 0, refused: 0 })
   })
 
   it('counts a call as late only when it would have been in time without the prompts ahead of it', () => {
@@ -41,7 +41,7 @@
     const meter = aMeter(new time.VirtualTime())
     const { call } = anAttempt()
     for (const reason of ['key_withdrawn', 'segment_quarantined', 'deadline_unreachable'] as const) meter.noteRefused(call, reason)
-    chai.expect(meter.workOf('s')).to.deep.include({ mixedPrefillMs: 25, calls: 1, refused: 1 })
+    chai.expect(meter.workOf('s')).to.deep.include({ mixedPrefillTokens: 1_000, calls: 1, refused: 1 })
   })
 })
 
@@ -139,31 +139,31 @@
   const rateAt = (history: capacity.DemandHistory, load: (at: number) => number, until: number): void => {
     let total = capacity.NO_WORK
     for (let at = 0; at <= until; at += 500) {
-      total = capacity.addWork(total, { ...capacity.NO_WORK, mixedPrefillMs: load(at) * 500, calls: 1 })
-      history.note(total, 2, at)
+      total = capacity.addWork(total, { ...capacity.NO_WORK, mixedPrefillTokens: load(at) * 500, calls: 1 })
+      history.note(total, at)
     }
   }
 
   it('holds the highest rate for longer than a wave, then lets it decline', () => {
     const history = new capacity.DemandHistory()
     rateAt(history, (at) => at <= 10_000 ? 40 : 10, 40_000)
-    chai.expect(history.recent(23_500)!.peakBusyEngines).to.be.closeTo(40, 0.5)
-    chai.expect(history.recent(40_000)!.peakBusyEngines).to.be.within(12, 25)
+    chai.expect(history.recent(23_500)!.peakPrefillTokens).to.be.closeTo(40, 0.5)
+    chai.expect(history.recent(40_000)!.peakPrefillTokens).to.be.within(12, 25)
   })
 })
 
 describe('estimateNeed', () => {
-  const demand: capacity.RecentDemand = { latest: { at: 0, busyEngines: 0, slots: 0, kvTokens: 0, callsPerS: 0, lateShare: 0 }, peakBusyEngines: 30, peakSlots: 0, peakKvTokens: 0, meanBusyEngines: 17, observedMs: 60_000 }
-  const present = { count: 90, mixedCount: 60, capacity: 135, prefillSpeedRatio: 2.5 }
+  const demand: capacity.RecentDemand = { latest: { at: 0, prefillTokens: 0, mixedPrefillTokens: 0, slots: 0, kvTokens: 0, callsPerS: 0, lateShare: 0 }, peakPrefillTokens: 1_200, peakSlots: 0, peakKvTokens: 0, meanPrefillTokens: 680, observedMs: 60_000 }
+  const present = { count: 90, mixedCount: 60, tokensPerMs: 5_400, prefillTokensPerMs: 100, mixedTokensPerMs: 40 }
   const need = (overrides: Partial<capacity.NeedInput> = {}): capacity.CapacityNeed => capacity.estimateNeed({ demand, present, slots: 64, kvCapacityTokens: 400_000, segmentTokens: 0, initialSize: 90, pressure: 1, ...overrides })
 
   it('divides the peak by the target utilization at the speed of the engines, and the mean by a higher one', () => {
     chai.expect(need()).to.deep.include({ engines: 40, meanEngines: 14 })
-    chai.expect(need({ present: { ...present, capacity: 67.5 } }).engines, 'engines at half the speed').to.equal(80)
+    chai.expect(need({ present: { ...present, tokensPerMs: 2_700 } }).engines, 'engines at half the speed').to.equal(80)
   })
 
   it('does not count on more than the usual share of prefill-only engines while mixed ones are missing', () => {
-    chai.expect(need({ present: { ...present, mixedCount: 0, capacity: 225 } }).engines).to.equal(40)
+    chai.expect(need({ present: { ...present, mixedCount: 0, tokensPerMs: 9_000 } }).engines).to.equal(40)
   })
 
   it('covers slots and KV cache of running calls with mixed engines, and cached segments up to the initial size', () => {
--- a/test/duties/capacity-orders.test.ts
+++ b/test/duties/capacity-orders.test.ts
@@ -165,7 +165,7 @@
 
   it('logs each decision with its inputs, and counts orders by outcome', async () => {
     const replay = await settled({ load: () => 37 })
-    const decision = replay.lines.find((line) => line.event === 'capacity_planned' && line.peak_busy !== undefined)!
+    const decision = replay.lines.find((line) => line.event === 'capacity_planned' && line.peak_tokens_per_ms !== undefined)!
     chai.expect(decision).to.include.keys('need', 'mean_need', 'present', 'present_mixed', 'desired', 'for_prefill', 'for_slots', 'for_cache', 'late_share', 'orders')
     chai.expect(replay.counters.counter('godwitpoint_target_orders_total', 'service="s",preemptible="true",outcome="accepted"')).to.be.above(2)
     chai.expect(replay.counters.counter('godwitpoint_engines_needed', 'service="s"')).to.be.within(45, 60)
--- a/test/duties/capacity-replay.ts
+++ b/test/duties/capacity-replay.ts
@@ -13,6 +13,7 @@
 const STEP_MS = 100
 /** Speed of a prefill-only engine as a multiple of that of a mixed one: the speeds that are assumed before any sample. */
 const PREFILL_RATIO = 2.5
+const MIXED_TOKENS_PER_MS = 40
 
 export interface ReplayOptions {
   readonly perDomain?: number
@@ -82,7 +83,7 @@
   private measure (): void {
     const load = this.options.load(this.virtual.now())
     const slots = this.options.slots?.(this.virtual.now()) ?? 0
-    this.work = capacity.addWork(this.work, { ...capacity.NO_WORK, mixedPrefillMs: load * STEP_MS, slotMs: slots * STEP_MS, calls: load > 0 ? 10 : 0 })
+    this.work = capacity.addWork(this.work, { ...capacity.NO_WORK, mixedPrefillTokens: load * MIXED_TOKENS_PER_MS * STEP_MS, slotMs: slots * STEP_MS, calls: load > 0 ? 10 : 0 })
     this.worst = Math.max(this.worst, load / this.capacity)
     this.paid += this.engines.price * STEP_MS / 1_000
   }
