Tell members the demand of all gateways: a member may hold the lease for target orders

Cause: the lease is taken about a second after the start, before the relays are known, so that a gateway holds it that becomes a member. Ruled out: to give the lease up when a gateway stops being a relay (each restart of a relay would stop the duties for four seconds). A failed link to the relay counts as not hearing the demand.

--- a/src/capacity/demand-topic.ts
+++ b/src/capacity/demand-topic.ts
@@ -26,10 +26,15 @@
 const SegmentRows = z.record(z.string(), z.array(segmentSample.SegmentRow))
 type SegmentRows = z.infer<typeof SegmentRows>
 
-/** Rows that changed, and the sampled segments by service when they are due. */
+/** Rows that changed, and the sampled segments by service when they are due; from a member to its relay, and between relays. */
 const DemandChanges = z.object({ rows: z.array(GatewayRow), segments: SegmentRows.optional() })
 type DemandChanges = z.infer<typeof DemandChanges>
 
+/** Counters of all gateways as a relay knows them, and the estimated tokens of the shared segments in use; from a relay to a member. */
+const ServiceTotal = z.object({ row: ServiceRow, segmentTokens: z.number() })
+const DemandTotals = z.object({ totals: z.array(ServiceTotal) })
+type DemandTotals = z.infer<typeof DemandTotals>
+
 interface KnownRow {
   readonly gateway: string
   readonly incarnation: string
@@ -40,17 +45,26 @@
   position: number
 }
 
+/** Totals that the present relay told. */
+interface RelayTotals {
+  readonly link: exchange.Link
+  readonly work: Map<string, work.Work>
+  readonly segmentTokens: Map<string, number>
+}
+
 /** Dependencies of a {@link DemandTopic}. */
 export interface DemandTopicDeps {
   readonly clock: time.Clock
   readonly gateway: string
   readonly incarnation: string
   readonly meter: Pick<demandMeter.DemandMeter, 'serviceNames' | 'workOf' | 'own'>
+  /** Whether this gateway is a relay. */
+  readonly isRelay: () => boolean
 }
 
 /**
- * Adds up the work of all gateways at the relays; a member knows its own only. Rows are cumulative by gateway and incarnation,
- * so that one which arrives twice, late or by another relay counts once.
+ * Adds up the work of all gateways at the relays; a member follows the sums of its relay, since it may hold the lease for target
+ * orders too. Rows are cumulative by gateway and incarnation, so that one which arrives twice, late or by another relay counts once.
  */
 export class DemandTopic implements exchange.Topic {
   readonly name = 'demand'
@@ -60,6 +74,8 @@
   /** Sampled segments of members and of fellow relays, by gateway. */
   private readonly told = new Map<string, { readonly kind: exchange.LinkKind, readonly segments: SegmentRows }>()
   private readonly segmentsSentAt = new Map<string, number>()
+  private readonly totalsSentAt = new Map<string, number>()
+  private relayTotals: RelayTotals | undefined
   private position = 0
   private refreshedAt = -Infinity
 
@@ -73,21 +89,31 @@
     return this.totals.get(service) ?? work.NO_WORK
   }
 
+  /** Whether the work of all gateways reaches this one: it is a relay, or its relay tells it. */
+  get hearsAll (): boolean {
+    return this.deps.isRelay() || this.relayTotals !== undefined
+  }
+
   /** Estimated tokens of the shared segments of a service that all known gateways used recently. */
   segmentTokens (service: string): number {
+    if (!this.deps.isRelay()) return this.relayTotals?.segmentTokens.get(service) ?? 0
     const told = [...this.told.values()].map((entry) => entry.segments[service] ?? [])
     return segmentSample.estimateTokens(segmentSample.mergeSamples([this.deps.meter.own(service).segments, ...told]))
   }
 
   changesSince (link: exchange.Link, position: number | undefined): exchange.Changes | undefined {
-    if (link.kind === 'member') return undefined
     this.refreshOwn()
+    if (link.kind === 'member') return this.totalsSince(link, position)
     const rows = [...this.rows.values()].filter((row) => row.isOwnOrMember && row.position > (position ?? 0)).map(toMessage)
     const segments = this.dueSegments(link)
     return rows.length === 0 && segments === undefined ? undefined : { next: this.position, payload: { rows, segments } satisfies DemandChanges }
   }
 
   apply (link: exchange.Link, payload: unknown): boolean {
+    if (link.kind === 'relay') {
+      this.applyTotals(link, DemandTotals.parse(payload))
+      return true
+    }
     const { rows, segments } = DemandChanges.parse(payload)
     for (const row of rows) {
       if (row.gateway !== this.deps.gateway) this.add(row, link.kind === 'member')
@@ -99,6 +125,35 @@
   linkEnded (link: exchange.Link): void {
     this.told.delete(link.gateway)
     this.segmentsSentAt.delete(link.gateway)
+    this.totalsSentAt.delete(link.gateway)
+    if (link.kind === 'relay' && this.relayTotals?.link.gateway === link.gateway) this.relayTotals = undefined
+  }
+
+  private totalsSince (link: exchange.Link, position: number | undefined): exchange.Changes | undefined {
+    const now = this.deps.clock.now()
+    if (position === this.position || now - (this.totalsSentAt.get(link.gateway) ?? -Infinity) < ROW_INTERVAL_MS) return undefined
+    this.totalsSentAt.set(link.gateway, now)
+    const totals = [...this.totals].map(([service, counters]) => ({ row: toServiceRow(service, counters), segmentTokens: this.segmentTokens(service) }))
+    return { next: this.position, payload: { totals } satisfies DemandTotals }
+  }
+
+  // What another relay had added up before is not new.
+  private applyTotals (link: exchange.Link, { totals }: DemandTotals): void {
+    const isKnown = this.relayTotals?.link.gateway === link.gateway && this.relayTotals.link.incarnation === link.incarnation
+    const known = isKnown ? this.relayTotals! : { link, work: new Map<string, work.Work>(), segmentTokens: new Map<string, number>() }
+    this.relayTotals = known
+    for (const { row, segmentTokens } of totals) {
+      const [service] = row
+      const counters = fromServiceRow(row)
+      const before = known.work.get(service)
+      if (before !== undefined && !this.deps.isRelay()) this.addToTotal(service, work.workSince(counters, before))
+      known.work.set(service, counters)
+      known.segmentTokens.set(service, segmentTokens)
+    }
+  }
+
+  private addToTotal (service: string, increase: work.Work): void {
+    this.totals.set(service, work.addWork(this.totals.get(service) ?? work.NO_WORK, increase))
   }
 
   private refreshOwn (): void {
@@ -133,7 +188,8 @@
     const increase = work.workSince(counters, before)
     if (work.WORK_FIELDS.every((field) => increase[field] === 0)) return false
     known.services.set(service, work.addWork(before, increase))
-    this.totals.set(service, work.addWork(this.totals.get(service) ?? work.NO_WORK, increase))
+    // The totals of the relay include it.
+    if (this.deps.isRelay()) this.addToTotal(service, increase)
     return true
   }
 
--- a/src/duties/capacity-orders.ts
+++ b/src/duties/capacity-orders.ts
@@ -16,9 +16,8 @@
 /** Dependencies of the orders by demand. */
 export interface CapacityOrdersDeps {
   readonly clock: time.Clock
-  readonly demand: Pick<capacity.DemandTopic, 'total' | 'segmentTokens'>
-  /** Whether this gateway hears of the demand at all others, and whether it reaches most of them. */
-  readonly isRelay: () => boolean
+  readonly demand: Pick<capacity.DemandTopic, 'total' | 'segmentTokens' | 'hearsAll'>
+  /** Whether this gateway reaches most of the others. */
   readonly reachesMost: () => boolean
   readonly lease: Pick<lease.Lease, 'stamp'>
   readonly dutyApi: types.DutyApi
@@ -51,7 +50,7 @@
     for (const service of this.deps.services()) {
       if (!isOrdered(service)) continue
       const state = this.stateOf(service.name)
-      if (!this.deps.isRelay()) state.forgetDemand()
+      if (!this.deps.demand.hearsAll) state.forgetDemand()
       else state.observe(this.deps.demand.total(service.name), now)
     }
   }
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -113,7 +113,7 @@
     this.quarantine = new quarantine.SegmentQuarantine({ clock: env.clock, selfName: settings.name, gateways: () => this.directory.gatewayNames(), log })
     this.quarantineRecords = new quarantine.QuarantineRecords({ env, store, eras: deps.eras, quarantine: this.quarantine, log })
     this.demandMeter = new capacity.DemandMeter(env.clock, this.fleet.speeds)
-    this.demand = new capacity.DemandTopic({ clock: env.clock, gateway: settings.name, incarnation: settings.incarnation, meter: this.demandMeter })
+    this.demand = new capacity.DemandTopic({ clock: env.clock, gateway: settings.name, incarnation: settings.incarnation, meter: this.demandMeter, isRelay })
     const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine, this.demand]
     this.exchange = new exchange.Exchange({ env, elapsed: this.elapsed, peers: this.peers, self, roster: this.roster, topics, ready: () => this.ready, log })
     this.directory = new directory.Directory({ env, store, eras: deps.eras, self, roster: this.roster, isRelay, ready: () => this.ready, log })
@@ -233,7 +233,7 @@
     const services = (): Iterable<serving.ServingService> => this.feed.current()?.config.services.values() ?? []
     const shared = { lease: this.lease, dutyApi, fleet: this.fleet, services, domains: settings.domains, log }
     const reachesMost = (): boolean => 2 * this.roster.upWithin(0).length >= this.roster.all().length
-    const capacityOrders = new duties.CapacityOrders({ ...shared, clock: env.clock, demand: this.demand, isRelay: () => this.exchange.isRelay, reachesMost, metrics: this.deps.metrics })
+    const capacityOrders = new duties.CapacityOrders({ ...shared, clock: env.clock, demand: this.demand, reachesMost, metrics: this.deps.metrics })
     return new duties.TargetOrders({ ...shared, env, store, eras: this.deps.eras, capacity: capacityOrders })
   }
 
--- a/test/capacity/demand.test.ts
+++ b/test/capacity/demand.test.ts
@@ -63,7 +63,7 @@
   const aTopic = (gateway: string, incarnation = '1'): capacity.DemandTopic => {
     const meter = aMeter(virtual)
     meters.set(`${gateway}/${incarnation}`, meter)
-    return new capacity.DemandTopic({ clock: virtual, gateway, incarnation, meter })
+    return new capacity.DemandTopic({ clock: virtual, gateway, incarnation, meter, isRelay: () => gateway !== 'm' })
   }
   const linkTo = (gateway: string, kind: exchange.LinkKind): exchange.Link => ({ gateway, incarnation: '1', kind })
   /** What `from` tells about everything it knows to a relay or, as a relay, to a fellow. */
@@ -133,6 +133,30 @@
     await region.virtual.advance(1_500)
     for (const relay of gateways.filter((gateway) => gateway.running && gateway.exchange.isRelay)) chai.expect(relay.demand.total('s').calls, relay.name).to.equal(30 + members.length - 1)
   })
+
+  // The lease for target orders is taken before the relays are known, so that a member may hold it.
+  it('tells members the work of all gateways, once also when their relay is lost', async () => {
+    const region = new regions.Region()
+    await region.write(regions.CONFIG_KEY, '1')
+    const gateways = region.startMany(30)
+    await region.virtual.advance(5_000)
+    const work = async (): Promise<void> => {
+      for (const gateway of gateways.filter((candidate) => candidate.running)) gateway.meter.noteAttempt(anAttempt())
+      await region.virtual.advance(3_000)
+    }
+    await work()
+    const relay = gateways.find((gateway) => gateway.exchange.isRelay)!
+    const members = gateways.filter((gateway) => !gateway.exchange.isRelay && gateway.domain === relay.domain)
+    const before = members.map((member) => member.demand.total('s').calls)
+    await work()
+    chai.expect(members.map((member, index) => member.demand.total('s').calls - before[index]!)).to.deep.equal(members.map(() => 30))
+    region.kill(relay.name)
+    await region.virtual.advance(5_000)
+    const later = members.map((member) => member.demand.total('s').calls)
+    await work()
+    chai.expect(members.map((member, index) => member.demand.total('s').calls - later[index]!)).to.deep.equal(members.map(() => 29))
+    chai.expect(members.every((member) => member.demand.hearsAll)).to.equal(true)
+  })
 })
 
 describe('DemandHistory', () => {
--- a/test/duties/capacity-orders.test.ts
+++ b/test/duties/capacity-orders.test.ts
@@ -114,10 +114,10 @@
   it('starts from the present number after a change of the lease holder, and releases none before it has heard demand for a while', async () => {
     let load = 50
     const replay = await settled({ load: () => load })
-    replay.isRelay = replay.holdsLease = false
+    replay.hearsDemand = replay.holdsLease = false
     await replay.run(2)
     load = 20
-    replay.isRelay = replay.holdsLease = true
+    replay.hearsDemand = replay.holdsLease = true
     await replay.run(6)
     chai.expect(replay.engines.received).to.deep.equal([])
     await replay.run(60)
--- a/test/duties/capacity-replay.ts
+++ b/test/duties/capacity-replay.ts
@@ -34,7 +34,7 @@
   private readonly fleet = build.aFleet(this.virtual, [])
   private work = capacity.NO_WORK
   holdsLease = true
-  isRelay = true
+  hearsDemand = true
   reachesMost = true
   /** Price of all engine seconds so far. */
   paid = 0
@@ -49,7 +49,9 @@
     const logger = { ...log.SILENT_LOGGER, info: (fields: object, event: string): void => { this.lines.push({ event, ...fields }) } }
     const eras = new external.StoreEras()
     const shared = { lease: { stamp: () => this.holdsLease ? { holder: 'a', token: 1 } : undefined }, dutyApi: this.engines, fleet: this.fleet, services: () => [service], domains: DOMAINS, log: logger }
-    const byDemand = new duties.CapacityOrders({ ...shared, clock: this.virtual, demand: { total: () => this.work, segmentTokens: () => 0 }, isRelay: () => this.isRelay, reachesMost: () => this.reachesMost, metrics: this.counters })
+    const isHeard = (): boolean => this.hearsDemand
+    const demand = { total: () => this.work, segmentTokens: () => 0, get hearsAll () { return isHeard() } }
+    const byDemand = new duties.CapacityOrders({ ...shared, clock: this.virtual, demand, reachesMost: () => this.reachesMost, metrics: this.counters })
     this.fleet.apply(this.engines.listed())
     new duties.TargetOrders({ ...shared, env: this.virtual.env(1), store: new standin.MemoryStore(this.virtual).client(eras), eras, capacity: presentPlan ? undefined : byDemand }).start()
   }
--- a/test/support/gateway-region.ts
+++ b/test/support/gateway-region.ts
@@ -73,7 +73,7 @@
     this.collector = new duties.UsageCollector({ peers, ledger: this.ledger, eras, relayAddresses: () => this.exchange.fellowAddresses(), log: silent })
     this.quarantine = new quarantine.SegmentQuarantine({ clock: virtual, selfName: name, gateways: () => this.directory.gatewayNames(), log: silent })
     this.meter = new capacity.DemandMeter(virtual, this.fleet.speeds)
-    this.demand = new capacity.DemandTopic({ clock: virtual, gateway: name, incarnation, meter: this.meter })
+    this.demand = new capacity.DemandTopic({ clock: virtual, gateway: name, incarnation, meter: this.meter, isRelay: () => this.exchange.isRelay })
     const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.ledger, this.quarantine, this.demand]
     this.exchange = new exchange.Exchange({ env, elapsed, peers, self, roster: this.roster, topics, ready: () => this.ready, log: silent })
     this.directory = new directory.Directory({ env, store, eras, self, roster: this.roster, isRelay, ready: () => this.ready, log: logger })
