Bound the engines for short peaks by the first size, and replace idle engines at once

Change: short peaks need at most the first size, a mean load may need more; idle engines hold no cached segments and need no steps.

--- a/src/capacity/capacity-need.ts
+++ b/src/capacity/capacity-need.ts
@@ -54,7 +54,7 @@
   readonly kvCapacityTokens: number
   /** Tokens of the shared segments that are in use. */
   readonly segmentTokens: number
-  /** Number of engines at the first start; bounds what is kept for cached segments alone. */
+  /** Number of engines at the first start; bounds what is kept for cached segments, and what short peaks of the load need. */
   readonly initialSize: number
   /** Factor for late calls; see {@link nextPressure}. */
   readonly pressure: number
@@ -78,7 +78,9 @@
   const { demand, present, slots, kvCapacityTokens, segmentTokens, initialSize, pressure } = input
   const tokensPerMs = tokensPerMsOfOne(present)
   const mixedShare = Math.max(MIN_MIXED_SHARE, present.mixedCount / Math.max(1, present.count))
-  const forPrefill = demand.peakPrefillTokens * pressure / TARGET_UTILIZATION / tokensPerMs
+  const enginesFor = (prefillTokensPerMs: number): number => prefillTokensPerMs * pressure / TARGET_UTILIZATION / tokensPerMs
+  // Engines arrive after most short peaks have passed; a load that lasts may need more than the service was started with.
+  const forPrefill = Math.min(enginesFor(demand.peakPrefillTokens), Math.max(initialSize, enginesFor(demand.meanPrefillTokens)))
   const mixedForSlots = demand.peakSlots / (slots * TARGET_SLOT_SHARE)
   const mixedForKv = demand.peakKvTokens * KV_MARGIN / kvCapacityTokens
   const forSlots = Math.max(mixedForSlots, mixedForKv) / mixedShare
--- a/src/duties/service-capacity.ts
+++ b/src/duties/service-capacity.ts
@@ -138,7 +138,7 @@
     const serving = surplus.map(({ desired, present }) => this.record(desired).lowest(present, now))
     const left = [...serving]
     const excess = (index: number): number => left[index]! - surplus[index]!.desired.count
-    for (let allowance = this.pacer.allowance(view.present.count, now); allowance > 0; allowance--) {
+    for (let allowance = this.allowance(view, now); allowance > 0; allowance--) {
       const candidates = surplus.map((_, index) => index).filter((index) => excess(index) > 0)
       const standard = candidates.filter((index) => !surplus[index]!.desired.preemptible)
       const next = (standard.length > 0 ? standard : candidates).sort((a, b) => excess(b) - excess(a) || price(b) - price(a))[0]
@@ -149,6 +149,11 @@
     return surplus.flatMap(({ desired, present }, index) => left[index]! < serving[index]! ? [{ desired: { ...desired, count: left[index]! }, present }] : [])
   }
 
+  // Engines that have had no work hold no cached segments that would be lost with them.
+  private allowance ({ present }: CapacityView, now: number): number {
+    return this.history.idleMs(now) > 0 ? present.count : this.pacer.allowance(present.count, now)
+  }
+
   private record ({ domain, preemptible }: Pick<types.DesiredTargets, 'domain' | 'preemptible'>): orderRecord.OrderRecord {
     const key = `${domain}/${preemptible ? 'preemptible' : 'standard'}`
     let record = this.records.get(key)
