Order standard engines for the mean load only

Cause: while one failure domain had no preemptible engines, 58 standard ones were ordered there for peaks (and the factor for late calls), at 4.5 times the price, although two domains with 112 preemptible ones carried the load. Ruled out: no standard ones at all: where preemptible ones stay refused a load that lasts must be met. Change: standard engines are ordered for what meets objectives at the mean load; peaks are left to preemptible ones.

--- a/src/capacity/capacity-need.ts
+++ b/src/capacity/capacity-need.ts
@@ -64,6 +64,8 @@
 export interface CapacityNeed {
   /** To meet objectives at the highest demand of the recent past. */
   readonly engines: number
+  /** To meet objectives at the mean demand. */
+  readonly steadyEngines: number
   /** To carry the mean demand. */
   readonly meanEngines: number
   readonly forPrefill: number
@@ -85,8 +87,10 @@
   const mixedForKv = demand.peakKvTokens * KV_MARGIN / kvCapacityTokens
   const forSlots = Math.max(mixedForSlots, mixedForKv) / mixedShare
   const forCache = Math.min(initialSize, (demand.peakKvTokens + segmentTokens) * KV_MARGIN / kvCapacityTokens)
+  const engines = Math.ceil(Math.max(1, forPrefill, forSlots, forCache))
   return {
-    engines: Math.ceil(Math.max(1, forPrefill, forSlots, forCache)),
+    engines,
+    steadyEngines: Math.min(engines, Math.ceil(demand.meanPrefillTokens / TARGET_UTILIZATION / tokensPerMs)),
     meanEngines: Math.ceil(demand.meanPrefillTokens / MAX_UTILIZATION / tokensPerMs),
     forPrefill,
     forSlots,
--- a/src/duties/capacity-plan.ts
+++ b/src/duties/capacity-plan.ts
@@ -32,6 +32,8 @@
 export interface NeededTargets {
   /** To meet objectives at the highest demand of the recent past. */
   readonly engines: number
+  /** To meet objectives at the mean demand. */
+  readonly steadyEngines: number
   /** To carry the mean demand. */
   readonly meanEngines: number
 }
@@ -114,7 +116,9 @@
   const expected = domains.map((domain, index) => domain.supply === 'available' ? planned[index]! : listed[index]!)
   // A loss that has happened is the one that the need is met without.
   const isLost = domains.some((domain, index) => domain.supply === 'lost' && listed[index]! < planned[index]! / 2)
-  orderPlan.addMissing(standard, missing(need, expected, isLost ? 0 : 1), { domains, limits })
+  // Peaks are left to preemptible targets: standard ones cost several times as much, and arrive when most peaks have passed.
+  const standardNeed = orderPlan.preemptibleTargetsPay(limits) ? { ...need, engines: need.steadyEngines } : need
+  orderPlan.addMissing(standard, missing(standardNeed, expected, isLost ? 0 : 1), { domains, limits })
   removeSurplus(standard, missing(need, listed, 1, KEPT_MARGIN), listed, input)
   return standard
 }
