Tests: abusive clients make a gateway process exceed the limits of its VM

Cause: buffers are bounded by constants, and several are not counted. 250 bodies of 1 MB in large chunks that never end: peak of 215 MB at a limit of 160; 250 streams that are not read: 398 MB; 10 x 400 pipelined requests whose responses are not read: 514 MB; 250 bodies that their target does not read: 206 MB; 300 bodies in chunks of 1 or 2 bytes: an ordinary request gets no response within 20 s; 700 connections without a request: 729 descriptors at a limit of 600. Ruled out: 500 header sections of 60 KB that never end (peak of 116 MB, the ordinary request is served) show no fault.

--- a/test/emulator/deployment.ts
+++ b/test/emulator/deployment.ts
@@ -47,6 +47,14 @@
   readonly accounts: number
   /** Arguments of Node for gateways, by index. */
   readonly nodeArgs?: (index: number) => readonly string[]
+  /** Limits of the VMs of the gateways; absent from their settings by default. */
+  readonly limits?: VmLimits
+}
+
+/** What the process of a gateway may use. */
+export interface VmLimits {
+  readonly memoryMb: number
+  readonly maxFds: number
 }
 
 /** A client account and its key. */
@@ -131,7 +139,7 @@
     const deployment = new Deployment(env, await storeServer.StoreServer.start(env.clock), dir, options)
     await deployment.startServers(options)
     await deployment.writeConfig()
-    for (let index = 0; index < options.gateways; index++) await deployment.addGateway(index, options.nodeArgs?.(index) ?? [])
+    for (let index = 0; index < options.gateways; index++) await deployment.addGateway(index, options.nodeArgs?.(index) ?? [], options.limits)
     for (const gateway of deployment.gateways) gateway.start()
     return deployment
   }
@@ -194,7 +202,7 @@
     }
   }
 
-  private async addGateway (index: number, nodeArgs: readonly string[]): Promise<void> {
+  private async addGateway (index: number, nodeArgs: readonly string[], limits: VmLimits | undefined): Promise<void> {
     const ports: number[] = []
     for (let count = 0; count < 5; count++) ports.push(await httpServer.freePort())
     const [front, ready, directory, peer, metrics] = ports.map((port) => `${httpServer.HOST}:${port}`) as [string, string, string, string, string]
@@ -209,6 +217,7 @@
       portRange: [peerPort, peerPort],
       heartbeatMs: HEARTBEAT_MS,
       bounds: BOUNDS,
+      limits,
       provider: { address: this.store.address },
       cloud: { address: this.store.address }
     }))
