Budgets that are parts of others, and the limits of a process computed from its VM

Cause: buffers are bounded by constants that the smallest VMs (160 and 210 MB) do not have. Change: a byte budget can be part of another one and have a reserve for small holders. src/resources computes the bytes of all buffers, the descriptors for connections and the points at which V8 has to collect from the memory and the descriptors of the VM and the size of the process at its start. Not used yet.

--- a/src/bytes/index.ts
+++ b/src/bytes/index.ts
@@ -1,4 +1,4 @@
 /** Buffers of bounded size. */
-export { ByteBudget } from './byte-budget.js'
+export { ByteBudget, type ByteBudgetOptions } from './byte-budget.js'
 export { ByteCollector } from './byte-collector.js'
 export { readAll } from './read-all.js'
--- /dev/null
+++ b/src/resources/process-resources.ts
@@ -0,0 +1,99 @@
+/** Memory and descriptors of this process: the limits, and what keeps the process within them. */
+import type * as log from '../log/index.js'
+import type * as metrics from '../metrics/index.js'
+import type * as time from '../time/index.js'
+import * as bufferMemory from './buffer-memory.js'
+import * as processLimits from './process-limits.js'
+
+/** Interval at which the resident size is measured, in ms. */
+const CHECK_INTERVAL_MS = 250
+
+/** Least time between two reductions of the buffers because the process is too large, in ms. */
+const MIN_HIGH_INTERVAL_MS = 500
+
+/** Share of the limit on the resident size from which on released buffers are collected; below it V8 decides. */
+const COLLECTION_SIZE_SHARE = 0.8
+
+/** Share of the buffers' limit that they may hold while the process is too large nevertheless. */
+const HIGH_MEMORY_BUFFER_SHARE = 0.4
+
+/** Which objects are collected: those allocated recently, or all that are unused. */
+export type CollectionKind = 'minor' | 'major'
+
+/** Size of this process, and its garbage collector. */
+export interface ProcessMemory {
+  /** Resident bytes. */
+  readonly residentBytes: () => number
+  /** Collects unused objects; does nothing when Node runs without the flag for it. */
+  readonly collect: (kind: CollectionKind) => void
+}
+
+/** Dependencies of the resources. */
+export interface ProcessResourcesDeps {
+  readonly limits: processLimits.ProcessLimits
+  readonly process: ProcessMemory
+  readonly env: Pick<time.Env, 'clock' | 'timers'>
+  readonly log: log.Logger
+  readonly metrics: Pick<metrics.Metrics, 'count'>
+}
+
+/** What the components of a process share. */
+export class ProcessResources implements Disposable {
+  readonly limits: processLimits.ProcessLimits
+  readonly buffers: bufferMemory.BufferMemory
+  private receivedBytes = 0
+  private highAt = -Infinity
+  private releasedAtCollection = 0
+  private timer: Disposable | undefined
+
+  constructor (private readonly deps: ProcessResourcesDeps) {
+    this.limits = deps.limits
+    this.buffers = new bufferMemory.BufferMemory(deps.limits.bufferBytes)
+  }
+
+  /** Starts to watch the resident size, when it has a limit. */
+  start (): void {
+    if (!Number.isFinite(this.limits.residentBytes)) return
+    this.timer = this.deps.env.timers.every(CHECK_INTERVAL_MS, () => this.checkSize())
+  }
+
+  /**
+   * Notes bytes that were read from a connection. The buffers of reads lie outside of the heap: V8 would collect them after
+   * 64 MB, which a small VM does not have.
+   */
+  noteReceived (bytes: number): void {
+    this.receivedBytes += bytes
+    if (this.receivedBytes < this.limits.receivedBeforeCollection) return
+    this.receivedBytes = 0
+    this.deps.process.collect('minor')
+    this.checkSize()
+  }
+
+  [Symbol.dispose] (): void {
+    this.timer?.[Symbol.dispose]()
+  }
+
+  private checkSize (): void {
+    const residentBytes = this.deps.process.residentBytes()
+    const isHigh = residentBytes > this.limits.residentBytes
+    if (isHigh && this.deps.env.clock.now() - this.highAt >= MIN_HIGH_INTERVAL_MS) this.noteHigh(residentBytes)
+    if (residentBytes < this.limits.residentBytes * COLLECTION_SIZE_SHARE) return
+    const releasedBytes = this.buffers.releasedBytes - this.releasedAtCollection
+    if (releasedBytes < this.limits.releasedBeforeCollection && (!isHigh || releasedBytes === 0)) return
+    this.releasedAtCollection = this.buffers.releasedBytes
+    this.deps.process.collect('major')
+  }
+
+  private noteHigh (residentBytes: number): void {
+    this.highAt = this.deps.env.clock.now()
+    this.deps.metrics.count('godwitpoint_memory_high_total')
+    this.deps.log.warn({ resident_bytes: residentBytes, limit_bytes: Math.round(this.limits.residentBytes), buffered_bytes: this.buffers.heldBytes }, 'memory_high')
+    // Connections are dropped when nothing is being parsed.
+    setImmediate(() => this.buffers.reclaimTo(HIGH_MEMORY_BUFFER_SHARE))
+  }
+}
+
+/** Resources of a process whose VM is not known: the limits are constants, and nothing is measured. */
+export function ofUnknownVm (deps: Pick<ProcessResourcesDeps, 'env' | 'log' | 'metrics'>): ProcessResources {
+  return new ProcessResources({ ...deps, limits: processLimits.computeLimits({}, 0), process: { residentBytes: () => 0, collect: () => {} } })
+}
