Connections to targets: a limit on all of them, and the bytes received

Change: the pool closes an idle connection, or reports that there is no descriptor, when as many connections are open as may be; it tells how many bytes of responses arrive. Without a limit nothing changes.

--- a/src/upstream/connection-pool.ts
+++ b/src/upstream/connection-pool.ts
@@ -15,12 +15,17 @@
 export interface ConnectionPoolDeps {
   readonly env: time.Env
   readonly metrics: metrics.Metrics
+  /** Open connections to all targets together; absent means that they are not limited. */
+  readonly maxConnections?: number | undefined
+  /** Called with the bytes of each piece of a response. */
+  readonly onReceived?: ((bytes: number) => void) | undefined
 }
 
 /** Sends each request on the most recently used idle connection, or on a new one. */
 export class ConnectionPool implements types.Upstream, Disposable {
   private readonly idle = new Map<string, connection.Connection[]>()
   private readonly openCounts = new Map<string, number>()
+  private open = 0
   private readonly idleLimits: idleLimits.IdleLimits
   private readonly sweeper: Disposable
 
@@ -68,9 +73,14 @@
 
   /** A new connection, or the error for an address that is malformed. */
   private connect (address: string): connection.Connection | Error {
+    if (!this.makeRoom()) {
+      this.deps.metrics.count('godwitpoint_target_connections_refused_total')
+      return new Error('no descriptor for a connection')
+    }
     try {
-      const conn = new connection.Connection(address, this.deps.env.clock, (closed) => this.noteClosed(closed))
+      const conn = new connection.Connection(address, this.deps.env.clock, (closed) => this.noteClosed(closed), this.deps.onReceived)
       this.openCounts.set(address, this.openCount(address) + 1)
+      this.open++
       this.deps.metrics.count('godwitpoint_target_connections_total')
       return conn
     } catch (err) {
@@ -79,6 +89,17 @@
     }
   }
 
+  /** Closes an idle connection when as many are open as may be; false when all are in use. */
+  private makeRoom (): boolean {
+    if (this.open < (this.deps.maxConnections ?? Infinity)) return true
+    for (const [oldest] of this.idle.values()) {
+      if (oldest === undefined) continue
+      oldest.close()
+      return true
+    }
+    return false
+  }
+
   private addIdle (conn: connection.Connection): void {
     const idle = this.idle.get(conn.address) ?? []
     this.idle.set(conn.address, idle)
@@ -87,6 +108,7 @@
   }
 
   private noteClosed (conn: connection.Connection): void {
+    this.open--
     const remaining = this.openCount(conn.address) - 1
     if (remaining > 0) this.openCounts.set(conn.address, remaining)
     else this.openCounts.delete(conn.address)
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -44,7 +44,7 @@
   /** Whether the current response has no length and is delimited by the close of the connection. */
   closeDelimited = false
 
-  constructor (readonly address: string, private readonly clock: time.Clock, private readonly onClosed: (connection: Connection) => void) {
+  constructor (readonly address: string, private readonly clock: time.Clock, private readonly onClosed: (connection: Connection) => void, private readonly onReceived?: (bytes: number) => void) {
     this.client = new undici.Client(`http://${address}`, {
       pipelining: 1,
       connect: this.createConnector(),
@@ -84,8 +84,9 @@
     if (socket.bytesRead - this.bytesUpToBody > MAX_BYTES_WITHOUT_BODY) socket.destroy(new Error('too many bytes without a body'))
   }
 
-  /** Notes that a request is being written, or that a part of a body has arrived. */
-  noteProgress (): void {
+  /** Notes that a request is being written, or that `receivedBytes` of a body have arrived. */
+  noteProgress (receivedBytes = 0): void {
+    if (receivedBytes > 0) this.onReceived?.(receivedBytes)
     this.bytesUpToBody = this.socket?.bytesRead ?? 0
   }
 
@@ -202,7 +203,7 @@
   }
 
   onResponseData (_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
-    this.connection.noteProgress()
+    this.connection.noteProgress(chunk.length)
     if (!this.finished) this.handler.onData(chunk)
   }
 
