Callers share the memory and the descriptors of the VM

Cause: see the tests of untrusted clients: bodies, responses, output that is not read and connections were not bounded together, and one read of 64 KiB can hold ten thousand chunks, each of which costs Node's parser a buffer and a callback (0.8 us). What a connection holds (body, unparsed input, unfinished head, output that is not read) counts in its budget and those of its address and the process; those that progressed least are dropped first. CallerConnections and ConnectionPolicy share one record of a connection's open responses.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -14,9 +14,6 @@
 /** Longest event of a stream, in bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024
 
-/** Size up to which a response or an event is buffered when the memory for responses is full, in bytes: a few endless ones must not fail all others. */
-const MAX_SMALL_RESPONSE_BYTES = 64 * 1024
-
 /** Interval at which a stalled attempt is reported again, in ms; meanwhile another target may have become usable. */
 const STALL_REPORT_INTERVAL_MS = 250
 
@@ -258,7 +255,7 @@
   }
 
   private lacksMemoryFor (bufferedBytes: number): boolean {
-    return this.deps.responseMemory.isFull && bufferedBytes > MAX_SMALL_RESPONSE_BYTES
+    return this.deps.responseMemory.refuses(bufferedBytes)
   }
 
   private endStream (): void {
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -29,7 +29,7 @@
 const RETRY_AFTER_MAX_MS = 500
 
 /** Dependencies of a forwarder. */
-export interface ForwarderDeps extends Omit<attempt.AttemptDeps, 'responseMemory'>, attemptRecorder.RecorderDeps {
+export interface ForwarderDeps extends Omit<attempt.AttemptDeps, 'responseMemory'>, Partial<Pick<attempt.AttemptDeps, 'responseMemory'>>, attemptRecorder.RecorderDeps {
   readonly placerFor: (call: calls.Call) => placement.Placer
   readonly budgetFor: (service: string) => retry.SharedRetryBudget
   readonly quarantine: Pick<quarantine.SegmentQuarantine, 'admit' | 'waitMs' | 'isBarred' | 'returnTrials' | 'noteLost' | 'noteAnswered'>
@@ -41,13 +41,13 @@
 
 /** Forwards each call until its response has ended. */
 export class Forwarder {
-  private readonly responseMemory = new bytes.ByteBudget(MAX_BUFFERED_RESPONSES_BYTES)
+  private readonly ownMemory = new bytes.ByteBudget(MAX_BUFFERED_RESPONSES_BYTES, { reserveBytes: Infinity })
 
   constructor (private readonly deps: ForwarderDeps) {}
 
   /** Delivers a response, or returns the refusal; `signal` is aborted when the caller has disconnected. */
   async forward (call: calls.Call, reply: calls.Reply, signal: AbortSignal): Promise<errors.Refusal | undefined> {
-    return await new ForwardedCall({ ...this.deps, responseMemory: this.responseMemory }, call, reply, signal).run()
+    return await new ForwardedCall({ ...this.deps, responseMemory: this.deps.responseMemory ?? this.ownMemory }, call, reply, signal).run()
   }
 }
 
--- a/src/gateway/connection-policy.ts
+++ b/src/gateway/connection-policy.ts
@@ -7,6 +7,7 @@
 import type * as metrics from '../metrics/index.js'
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
+import type * as callerConnections from './caller-connections.js'
 
 /** Error code of Node when a request head was not complete within the header timeout. */
 const HEAD_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
@@ -24,6 +25,7 @@
 /** Dependencies of the connections. */
 export interface ConnectionPolicyDeps {
   readonly server: http.Server
+  readonly connections: Pick<callerConnections.CallerConnections, 'get'>
   readonly timers: time.Timers
   readonly log: log.Logger
   readonly metrics: metrics.Metrics
@@ -31,8 +33,6 @@
 
 /** Decides when the connections of an HTTP server are closed that are idle, too slow or malformed. */
 export class ConnectionPolicy implements Disposable {
-  /** Responses of each connection that are not written completely yet. */
-  private readonly openResponses = new WeakMap<stream.Duplex, Set<http.ServerResponse>>()
   private lowering: Disposable | undefined
   private hasLimits = false
 
@@ -57,11 +57,8 @@
   }
 
   /** Notes a response that is to be written on a connection; its Keep-Alive header announces the present idle timeout. */
-  track (socket: net.Socket, res: http.ServerResponse): void {
+  announce (socket: net.Socket, res: http.ServerResponse): void {
     const announcedMs = this.deps.server.keepAliveTimeout
-    const open = this.openResponses.get(socket) ?? new Set()
-    this.openResponses.set(socket, open.add(res))
-    res.on('close', () => open.delete(res))
     // Node has just set the idle timeout of the configuration in force now, which may be shorter than the announced one.
     res.on('finish', () => {
       const shortenedMs = announcedMs - this.deps.server.keepAliveTimeout
@@ -74,15 +71,17 @@
   }
 
   private handleError (err: NodeJS.ErrnoException, socket: stream.Duplex): void {
-    const { log, metrics } = this.deps
+    const { connections, log, metrics } = this.deps
     metrics.count('godwitpoint_client_errors_total')
-    const open = [...this.openResponses.get(socket) ?? []]
+    const connection = connections.get(socket as net.Socket)
+    const open = connection?.openResponses() ?? []
     const last = open.at(-1)
     if (!socket.writable || CALLER_LEFT_CODES.has(err.code ?? '')) {
       socket.destroy()
       return
     }
     log.info({ code: err.code, open_responses: open.length }, 'caller_connection_failed')
+    connection?.discardInput()
     if (last !== undefined && last.req.complete) this.endAfter(last, socket)
     else if (last?.headersSent === true || open.length > 1) socket.destroy()
     else if (err.code !== HEAD_TIMEOUT_CODE) this.refuse(socket, MALFORMED_STATUS_LINE, 'malformed_request')
@@ -111,7 +110,10 @@
   /** Answers a CONNECT request, for which Node would close the connection; it has removed its own listeners from the socket. */
   private refuseTunnel (socket: stream.Duplex): void {
     socket.on('error', (err: NodeJS.ErrnoException) => this.deps.log.info({ code: err.code, open_responses: 0 }, 'caller_connection_failed'))
-    if ((this.openResponses.get(socket)?.size ?? 0) > 0) socket.destroy()
+    // Node has taken its parser from the connection.
+    const connection = this.deps.connections.get(socket as net.Socket)
+    connection?.discardInput()
+    if ((connection?.openResponses().length ?? 0) > 0) socket.destroy()
     else this.refuse(socket, NO_TUNNELS_STATUS_LINE, 'method_not_allowed')
   }
 
--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -1,13 +1,15 @@
 /** HTTP server for callers. */
 import * as http from 'node:http'
-import * as bytes from '../bytes/index.js'
 import * as errors from '../errors/index.js'
 import type * as log from '../log/index.js'
 import type * as metrics from '../metrics/index.js'
 import type * as serving from '../serving/index.js'
+import * as resources from '../resources/index.js'
 import * as sockets from '../sockets/index.js'
 import type * as time from '../time/index.js'
+import type * as callerConnection from './caller-connection.js'
 import * as callerConnections from './caller-connections.js'
+import type * as clientShares from './client-shares.js'
 import * as connectionPolicy from './connection-policy.js'
 import * as httpReply from './http-reply.js'
 import * as requestBody from './request-body.js'
@@ -25,11 +27,8 @@
 /** Length of the listen queue, in connections that wait to be accepted. */
 const ACCEPT_BACKLOG = 1_024
 
-/** Active requests beyond which new ones are refused; bounds memory and file descriptors. */
-const MAX_ACTIVE_REQUESTS = 1_500
-
-/** Bytes of the bodies of active requests beyond which new requests are refused; bounds memory. */
-const MAX_ACTIVE_BODY_BYTES = 64 * 1024 * 1024
+/** Memory of the objects of a request, of its connection to a target, and of its attempts, in bytes. */
+const REQUEST_BYTES = 48 * 1024
 
 /** Retry-after of a request that was refused because no configuration is known yet, in ms. */
 const NOT_READY_RETRY_AFTER_MS = 250
@@ -47,6 +46,10 @@
   readonly protocol: types.CallerProtocol
   readonly handler: types.CallHandler
   readonly limits: () => serving.CallerLimits | undefined
+  /** Name of the client account of a key; undefined when there is none. */
+  readonly accountOf?: (key: string) => string | undefined
+  /** Memory and descriptors; absent means those of a process whose VM is not known. */
+  readonly resources?: resources.ProcessResources
   readonly log: log.Logger
   readonly metrics: metrics.Metrics
 }
@@ -54,15 +57,22 @@
 /** Reads requests within the limits of the configuration and writes the responses. */
 export class HttpFrontend implements AsyncDisposable {
   private readonly server: http.Server
-  private readonly connections = new callerConnections.CallerConnections()
+  private readonly resources: resources.ProcessResources
+  private readonly connections: callerConnections.CallerConnections
   private readonly policy: connectionPolicy.ConnectionPolicy
   private closing = false
   private active = 0
-  private readonly bodyMemory = new bytes.ByteBudget(MAX_ACTIVE_BODY_BYTES)
   private readonly lingering = new WeakSet<http.ServerResponse>()
   private unfinished = 0
 
   constructor (private readonly deps: HttpFrontendDeps) {
+    this.resources = deps.resources ?? resources.ofUnknownVm(deps)
+    this.connections = new callerConnections.CallerConnections({
+      ...deps,
+      resources: this.resources,
+      maxBodyBytes: () => this.limits.bodyBytes,
+      outputTimeoutMs: () => this.limits.idleTimeoutMs
+    })
     this.server = http.createServer({
       maxHeaderSize: PARSER_HEADER_BYTES,
       connectionsCheckingInterval: SLOW_CALLER_CHECK_MS,
@@ -74,7 +84,7 @@
     this.server.on('connection', (socket) => this.connections.add(socket))
     // Node's own method, which close() calls, also closes connections whose response is still buffered.
     this.server.closeIdleConnections = () => this.connections.closeIdle()
-    this.policy = new connectionPolicy.ConnectionPolicy({ server: this.server, timers: deps.env.timers, log: deps.log, metrics: deps.metrics })
+    this.policy = new connectionPolicy.ConnectionPolicy({ server: this.server, connections: this.connections, timers: deps.env.timers, log: deps.log, metrics: deps.metrics })
   }
 
   /** Number of requests being handled. */
@@ -110,33 +120,36 @@
 
   async [Symbol.asyncDispose] (): Promise<void> {
     this.policy[Symbol.dispose]()
+    this.connections[Symbol.dispose]()
     this.server.close()
     this.server.closeAllConnections()
   }
 
   private async serve (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const callerLeft = new AbortController()
-    const accepted = this.connections.begin(req, res, () => {
+    const connection = this.connections.begin(req, res, () => {
       this.unfinished--
       if (res.writableFinished || this.lingering.has(res)) return
       this.noteUnfinished(req, res)
       callerLeft.abort()
     })
-    if (!accepted) {
+    if (connection === undefined) {
       req.resume()
       return
     }
-    this.policy.track(req.socket, res)
+    this.policy.announce(req.socket, res)
     this.unfinished++
     this.active++
+    this.resources.buffers.take(REQUEST_BYTES)
     try {
-      using reader = this.createBody()
+      using reader = new requestBody.RequestBody(connection.memory, this.deps.env.timers, this.limits, connection, this.accountOf)
       const isConfigured = this.deps.limits() !== undefined
       const body = this.checkHead(req) ?? await reader.read(req, res)
       if (body instanceof errors.Refusal) this.refuse(req, res, isConfigured ? body : notReady())
-      else if (body !== undefined) await this.handleRequest(req, res, body, callerLeft.signal)
+      else if (body !== undefined) await this.handleRequest(req, res, body, connection, callerLeft.signal)
     } finally {
       this.active--
+      this.resources.buffers.releaseObjects(REQUEST_BYTES)
     }
   }
 
@@ -146,8 +159,8 @@
     this.deps.log.info({ id: req.headers['request-id'], closed_by: closedBy, head_sent: res.headersSent, ended: res.writableEnded, request_complete: req.complete, stopping: this.closing }, 'response_unfinished')
   }
 
-  private async handleRequest (req: http.IncomingMessage, res: http.ServerResponse, body: Uint8Array, signal: AbortSignal): Promise<void> {
-    const reply = new httpReply.HttpReply(res, () => this.closing && this.connections.closeAfter(req))
+  private async handleRequest (req: http.IncomingMessage, res: http.ServerResponse, body: Uint8Array, connection: callerConnection.CallerConnection, signal: AbortSignal): Promise<void> {
+    const reply = new httpReply.HttpReply(res, () => this.closing && this.connections.closeAfter(req), (bytes) => connection.addUnread(bytes))
     const refusal = await this.deps.handler.handle(this.deps.protocol.decode(req), body, reply, signal)
     if (refusal !== undefined) this.refuse(req, res, refusal)
   }
@@ -156,12 +169,14 @@
     return this.deps.limits() ?? DEFAULT_LIMITS
   }
 
-  private createBody (): requestBody.RequestBody {
-    return new requestBody.RequestBody(this.bodyMemory, this.deps.env.timers, this.limits)
+  private readonly accountOf = (req: http.IncomingMessage): clientShares.ClientShare | undefined => {
+    const { key } = this.deps.protocol.decode(req)
+    const account = key === undefined ? undefined : this.deps.accountOf?.(key)
+    return account === undefined ? undefined : this.connections.shareOfAccount(account)
   }
 
   private checkHead (req: http.IncomingMessage): errors.Refusal | undefined {
-    if (this.active > MAX_ACTIVE_REQUESTS || this.bodyMemory.isFull) return requestBody.overloaded()
+    if (this.active > this.resources.limits.activeRequests || this.resources.buffers.refuses(0)) return requestBody.overloaded()
     return headerBytes(req) > this.limits.headerBytes ? new errors.Refusal('headers_too_large', { step: 'parse', ran: 'no' }) : undefined
   }
 
@@ -189,7 +204,9 @@
     const timer = this.deps.env.timers.after(MAX_LINGER_MS, () => res.end())
     req.on('end', () => res.end())
     res.on('close', () => timer[Symbol.dispose]())
-    req.resume()
+    // Counts the chunks of a body that is not read.
+    const connection = this.connections.get(req.socket)
+    req.on('data', () => connection?.noteBodyChunk(0))
   }
 
   private failRequest (res: http.ServerResponse, err: unknown): void {
--- a/src/gateway/http-reply.ts
+++ b/src/gateway/http-reply.ts
@@ -2,9 +2,22 @@
 import type * as http from 'node:http'
 import type * as calls from '../call/index.js'
 
-/** Writes a reply to a server response; `closing` tells whether the response closes its connection. */
+/** Size of the pieces in which a large response is written, in bytes; each counts as progress of its caller. */
+const PIECE_BYTES = 64 * 1024
+
+/** Bytes that arrive from the target, and wait in the kernel and its socket, while a stream is paused. */
+const PAUSED_SOURCE_BYTES = 128 * 1024
+
+/**
+ * Writes a reply to a server response. `closing` tells whether the response closes its connection; `addUnread` is called with
+ * the change of the bytes that the caller has not read.
+ */
 export class HttpReply implements calls.Reply {
-  constructor (private readonly res: http.ServerResponse, private readonly closing: () => boolean) {}
+  /** Bytes that the caller has not read. */
+  private unreadBytes = 0
+  private watchesClose = false
+
+  constructor (private readonly res: http.ServerResponse, private readonly closing: () => boolean, private readonly addUnread: (bytes: number) => void = () => {}) {}
 
   get started (): boolean {
     return this.res.headersSent
@@ -12,7 +25,8 @@
 
   send (head: calls.ResponseHead, body: Uint8Array): void {
     this.writeHead(head.status, [...head.headers, 'content-length', String(body.length)])
-    this.res.end(body)
+    if (body.length > PIECE_BYTES) this.sendFrom(body, 0)
+    else this.endWith(body)
   }
 
   start (head: calls.ResponseHead): void {
@@ -21,7 +35,10 @@
   }
 
   write (chunk: Uint8Array): boolean {
-    return this.res.write(chunk)
+    if (this.res.write(chunk)) return true
+    this.setUnread(this.res.writableLength + PAUSED_SOURCE_BYTES)
+    this.res.once('drain', () => this.setUnread(0))
+    return false
   }
 
   end (): void {
@@ -36,6 +53,33 @@
     this.res.once('drain', fn)
   }
 
+  private sendFrom (body: Uint8Array, start: number): void {
+    const end = start + PIECE_BYTES
+    if (end >= body.length) {
+      this.endWith(body.subarray(start))
+      return
+    }
+    if (this.res.write(body.subarray(start, end))) {
+      this.sendFrom(body, end)
+      return
+    }
+    this.setUnread(this.res.writableLength + body.length - end)
+    this.res.once('drain', () => this.sendFrom(body, end))
+  }
+
+  private endWith (rest: Uint8Array): void {
+    this.res.end(rest)
+    this.setUnread(this.res.writableLength)
+  }
+
+  private setUnread (bytes: number): void {
+    if (bytes === this.unreadBytes) return
+    if (!this.watchesClose) this.res.once('close', () => this.setUnread(0))
+    this.watchesClose = true
+    this.addUnread(bytes - this.unreadBytes)
+    this.unreadBytes = bytes
+  }
+
   private writeHead (status: number, headers: readonly string[]): void {
     if (this.started) throw new Error('the head of this response was already sent')
     if (this.res.destroyed) return
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -1,4 +1,5 @@
 /** A gateway process: composes its components and stops them in order. */
+import * as bytes from '../bytes/index.js'
 import * as directory from '../directory/index.js'
 import * as duties from '../duties/index.js'
 import * as exchange from '../exchange/index.js'
@@ -11,6 +12,7 @@
 import * as peer from '../peer/index.js'
 import * as placement from '../placement/index.js'
 import * as quarantine from '../quarantine/index.js'
+import * as resources from '../resources/index.js'
 import * as retry from '../retry/index.js'
 import * as serving from '../serving/index.js'
 import * as time from '../time/index.js'
@@ -26,6 +28,9 @@
 /** Timeout for releasing what other gateways wait for (lease and directory entry), in ms; a shorter grace period shortens it. */
 const RELEASE_TIMEOUT_MS = 1_000
 
+/** Share of all buffers that incomplete responses of targets may hold; small ones may go on beyond it. */
+const RESPONSE_SHARE = 0.5
+
 /** Settings of a gateway process. */
 export interface NodeSettings {
   readonly name: string
@@ -66,10 +71,13 @@
   readonly targets: Pick<fleet.FleetFeedDeps, 'prefix' | 'decode'>
   readonly log: log.Logger
   readonly metrics: metrics.Metrics
+  /** Memory and descriptors of the process; absent means those of a process whose VM is not known. */
+  readonly resources?: resources.ProcessResources | undefined
 }
 
 /** The components of a running gateway. */
 export class GatewayNode implements AsyncDisposable {
+  private readonly resources: resources.ProcessResources
   private readonly elapsed: serving.ElapsedClock
   private readonly feed: serving.ConfigFeed
   private readonly fleet: fleet.Fleet
@@ -95,11 +103,12 @@
 
   constructor (private readonly deps: NodeDeps) {
     const { env, store, log, metrics, settings } = deps
+    this.resources = deps.resources ?? resources.ofUnknownVm(deps)
     this.elapsed = new serving.ElapsedClock(env.clock)
     deps.eras.onRestored((era) => log.warn({ era }, 'store_restored'))
     const isRelay = (): boolean => this.exchange.isRelay
     this.feed = new serving.ConfigFeed({ env, elapsed: this.elapsed, store, eras: deps.eras, propagationMs: settings.bounds.configPropagationMs, isReader: isRelay, log, metrics, ...deps.config })
-    this.pool = new upstream.ConnectionPool({ env, metrics })
+    this.pool = new upstream.ConnectionPool({ env, metrics, maxConnections: this.resources.limits.targetConnections, onReceived: (size) => this.resources.noteReceived(size) })
     this.fleet = new fleet.Fleet({ clock: env.clock, log, onRemoved: (address) => this.pool.dropIdleConnections(address) })
     this.fleetFeed = new fleet.FleetFeed({ env, elapsed: this.elapsed, store, eras: deps.eras, fleet: this.fleet, leavePropagationMs: settings.bounds.leavePropagationMs, shortestExpiryMs: settings.bounds.targetExpiryMs, isReader: isRelay, log, ...deps.targets })
     this.peers = new peer.TcpPeers(env.timers, log)
@@ -120,13 +129,15 @@
     this.targetOrders = this.createTargetOrders()
     this.gateway = this.createGateway()
     const limits = (): serving.CallerLimits | undefined => this.feed.current()?.config.limits
-    this.frontend = new httpFrontend.HttpFrontend({ env, protocol: deps.callerProtocol, handler: this.gateway, limits, log, metrics })
+    const accountOf = (key: string): string | undefined => this.feed.current()?.findAccount(key)?.name
+    this.frontend = new httpFrontend.HttpFrontend({ env, protocol: deps.callerProtocol, handler: this.gateway, limits, accountOf, resources: this.resources, log, metrics })
     this.feed.onChange((config) => this.frontend.applyLimits(config.limits))
   }
 
   /** Opens the sockets, waiting for ports that are in use, and starts the periodic tasks; rejects when a port cannot be bound. */
   async start (): Promise<void> {
     const { settings } = this.deps
+    this.resources.start()
     this.feed.start()
     this.fleetFeed.start()
     this.cacheFeed.start()
@@ -165,7 +176,7 @@
   async [Symbol.asyncDispose] (): Promise<void> {
     const { env } = this.deps
     this.beginStop()
-    for (const task of [this.usageCloser, this.targetOrders, this.feed, this.fleetFeed, this.cacheFeed, this.quarantineRecords, this.exchange, this.pool]) task[Symbol.dispose]()
+    for (const task of [this.usageCloser, this.targetOrders, this.feed, this.fleetFeed, this.cacheFeed, this.quarantineRecords, this.exchange, this.pool, this.resources]) task[Symbol.dispose]()
     await time.withTimeout(env.timers, RELEASE_TIMEOUT_MS, this.releaseLeaseAndDeregister(), () => undefined)
     await this.usageLedger[Symbol.asyncDispose]()
     await this.frontend[Symbol.asyncDispose]()
@@ -245,6 +256,7 @@
       quarantine: this.quarantine,
       listAgeMs: () => this.fleetFeed.listAgeMs,
       configVersion: () => this.feed.current()?.config.version,
+      responseMemory: new bytes.ByteBudget(this.resources.buffers.maxBytes * RESPONSE_SHARE, { parent: this.resources.buffers, reserveBytes: Infinity }),
       log,
       metrics,
       dropIdleConnections: (address) => this.pool.dropIdleConnections(address)
--- a/src/gateway/request-body.ts
+++ b/src/gateway/request-body.ts
@@ -4,17 +4,37 @@
 import * as errors from '../errors/index.js'
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
+import type * as clientShares from './client-shares.js'
 
 /** Retry-after of a request that was refused for overload, in ms. */
 const OVERLOAD_RETRY_AFTER_MS = 300
 
+/** Size of a body from which on it counts against the share of its client account, in bytes. */
+const MIN_ACCOUNT_BODY_BYTES = 64 * 1024
+
+/** What a body that is being received tells its connection. */
+export interface BodyEvents {
+  beginBody: (body: RequestBody) => void
+  /** A chunk was received; `heldBytes` are those of all chunks. */
+  noteBodyChunk: (heldBytes: number) => void
+  /** The body is complete or no longer wanted. */
+  endBody: () => void
+}
+
+/** Share of the client account of a request; undefined when it is not known. */
+export type AccountOf = (req: http.IncomingMessage) => clientShares.ClientShare | undefined
+
 /** The body of one request; counts in the memory until it is disposed. */
 export class RequestBody implements Disposable {
   private readonly collector: bytes.ByteCollector
+  private accountShare: clientShares.ClientShare | undefined
   private heldBytes = 0
   private timer: Disposable | undefined
+  /** Whether a chunk has arrived since the idle timer was started. */
+  private arriving = false
+  private settle: ((outcome: Uint8Array | errors.Refusal | undefined) => void) | undefined
 
-  constructor (private readonly memory: bytes.ByteBudget, private readonly timers: time.Timers, private readonly limits: serving.CallerLimits) {
+  constructor (private readonly memory: bytes.ByteBudget, private readonly timers: time.Timers, private readonly limits: serving.CallerLimits, private readonly events?: BodyEvents, private readonly accountOf?: AccountOf) {
     this.collector = new bytes.ByteCollector(limits.bodyBytes)
   }
 
@@ -26,41 +46,66 @@
       return new Uint8Array(0)
     }
     return await new Promise((resolve) => {
-      let settled = false
-      const settle = (outcome: Uint8Array | errors.Refusal | undefined): void => {
-        settled = true
+      this.settle = (outcome) => {
+        this.settle = undefined
         this.timer?.[Symbol.dispose]()
+        this.events?.endBody()
         resolve(outcome)
       }
-      this.startIdleTimer(settle)
-      req.on('data', (chunk: Buffer) => {
-        if (settled) return
-        this.startIdleTimer(settle)
-        const refusal = this.add(chunk)
-        if (refusal !== undefined) settle(refusal)
-      })
-      req.on('end', () => settle(this.collector.take()))
-      req.on('error', () => settle(undefined))
-      res.on('close', () => settle(undefined))
+      this.events?.beginBody(this)
+      this.startIdleTimer()
+      req.on('data', (chunk: Buffer) => this.receive(req, chunk))
+      req.on('end', () => this.settle?.(this.collector.take()))
+      req.on('error', () => this.settle?.(undefined))
+      res.on('close', () => this.settle?.(undefined))
     })
   }
 
+  get account (): clientShares.ClientShare | undefined {
+    return this.accountShare
+  }
+
+  /** Ends the reading with a refusal for lack of memory. */
+  refuse (): void {
+    this.settle?.(overloaded())
+  }
+
   [Symbol.dispose] (): void {
     this.memory.release(this.heldBytes)
+    this.accountShare?.memory.release(this.heldBytes)
+    this.accountShare = undefined
     this.heldBytes = 0
     this.collector[Symbol.dispose]()
   }
 
-  private add (chunk: Buffer): errors.Refusal | undefined {
+  private receive (req: http.IncomingMessage, chunk: Buffer): void {
+    this.events?.noteBodyChunk(this.heldBytes + chunk.length)
+    if (this.settle === undefined) return
+    this.arriving = true
+    const refusal = this.add(req, chunk)
+    if (refusal !== undefined) this.settle(refusal)
+  }
+
+  private add (req: http.IncomingMessage, chunk: Buffer): errors.Refusal | undefined {
     if (!this.collector.add(chunk)) return tooLarge()
     this.heldBytes += chunk.length
     this.memory.take(chunk.length)
-    return this.memory.isFull ? overloaded() : undefined
+    if (this.accountShare !== undefined) this.accountShare.memory.take(chunk.length)
+    else if (this.heldBytes > MIN_ACCOUNT_BODY_BYTES) this.countForAccount(req)
+    return this.memory.refuses(this.heldBytes) || this.accountShare?.memory.isFull === true ? overloaded() : undefined
   }
 
-  private startIdleTimer (settle: (refusal: errors.Refusal) => void): void {
-    this.timer?.[Symbol.dispose]()
-    this.timer = this.timers.after(this.limits.idleTimeoutMs, () => settle(new errors.Refusal('request_too_slow', { step: 'parse', ran: 'no' })))
+  private countForAccount (req: http.IncomingMessage): void {
+    this.accountShare = this.accountOf?.(req)
+    this.accountShare?.memory.take(this.heldBytes)
+  }
+
+  private startIdleTimer (): void {
+    this.arriving = false
+    this.timer = this.timers.after(this.limits.idleTimeoutMs, () => {
+      if (this.arriving) this.startIdleTimer()
+      else this.settle?.(new errors.Refusal('request_too_slow', { step: 'parse', ran: 'no' }))
+    })
   }
 }
 
