--- a/src/gateway/caller-connection.ts
+++ b/src/gateway/caller-connection.ts
@@ -115,6 +115,11 @@
     return this.body !== undefined || this.unreadBytes > 0 || this.headBytes > 0 || this.input.unparsedBytes > 0
   }
 
+  /** Time since bytes were received; 0 while received bytes wait to be parsed. */
+  get idleMs (): number {
+    return this.input.unparsedBytes > 0 ? 0 : this.deps.now() - this.receivedAt
+  }
+
   /** Whether the caller does not read its responses. */
   get hasUnreadOutput (): boolean {
     return this.unreadBytes > 0
@@ -129,6 +134,7 @@
   begin (req: http.IncomingMessage, res: http.ServerResponse, onEnd: () => void): void {
     this.newest = req
     this.input.work += inputTurns.REQUEST_WORK
+    if (req.headers['transfer-encoding'] !== undefined) this.input.noteChunked()
     this.pending.set(req, { res, onEnd })
     // A response that waits for an earlier one emits no event when its connection closes.
     res.once('close', () => this.end(req))
@@ -137,7 +143,7 @@
   /** Whether the response to `req` may announce that it closes the connection; no request is accepted from then on. */
   closeAfter (req: http.IncomingMessage): boolean {
     const [oldest] = this.pending.keys()
-    if (this.newest !== req || (oldest !== req && req.complete)) return false
+    if (this.newest !== req || this.input.unparsedBytes > 0 || (oldest !== req && req.complete)) return false
     this.closing = true
     return true
   }
@@ -194,11 +200,19 @@
    */
   drop (): void {
     this.dropped = true
+    if (!this.refuseBody()) {
+      this.discardInput()
+      this.socket.resetAndDestroy()
+    }
+  }
+
+  /** Refuses the request whose body is incomplete as not executed; false when there is none, or an earlier response is pending. */
+  refuseBody (): boolean {
     const { body } = this
-    this.body = undefined
+    if (body === undefined || this.pending.size > 1) return false
     this.discardInput()
-    if (body !== undefined && this.pending.size === 1) body.refuse()
-    else this.socket.resetAndDestroy()
+    body.refuse()
+    return true
   }
 
   /** Releases everything; the connection has closed. */
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -100,6 +100,11 @@
     for (const connection of this.connections.values()) connection.closeIfIdle()
   }
 
+  /** Refuses the requests whose bodies are incomplete. */
+  refuseBodies (): void {
+    for (const connection of this.connections.values()) connection.refuseBody()
+  }
+
   [Symbol.dispose] (): void {
     this.stallCheck[Symbol.dispose]()
   }
--- a/src/gateway/caller-input.ts
+++ b/src/gateway/caller-input.ts
@@ -65,6 +65,14 @@
     return this.waitingBytes > 0 && this.mayParse
   }
 
+  /**
+   * Notes that a request with chunks has begun. The work of those that are parsed at once with its head is not known, as Node
+   * passes them on later, so the others wait for their turn.
+   */
+  noteChunked (): void {
+    this.costly = true
+  }
+
   /** Notes that a message is complete: the next one may be an ordinary one. */
   noteMessageEnd (): void {
     this.costly = false
--- a/src/gateway/http-frontend.ts
+++ b/src/gateway/http-frontend.ts
@@ -118,6 +118,11 @@
     this.server.closeIdleConnections()
   }
 
+  /** Refuses the requests whose bodies are incomplete, as not executed. */
+  refuseBodies (): void {
+    this.connections.refuseBodies()
+  }
+
   async [Symbol.asyncDispose] (): Promise<void> {
     this.policy[Symbol.dispose]()
     this.connections[Symbol.dispose]()
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -195,6 +195,7 @@
     const allWritten = (): boolean => this.frontend.activeRequests === 0 && this.frontend.unfinishedResponses === 0
     await this.waitFor(allWritten, times.callsEndAt)
     // No call begins to execute after this, so that the counts of executed calls are final.
+    this.frontend.refuseBodies()
     this.gateway.endUnstartedCalls()
     const usageWritten = time.withTimeout(env.timers, times.exitAt - env.clock.now(), this.usageLedger[Symbol.asyncDispose](), () => undefined)
     await this.waitFor(allWritten, times.responsesEndAt)
--- a/src/gateway/request-body.ts
+++ b/src/gateway/request-body.ts
@@ -12,8 +12,10 @@
 /** Size of a body from which on it counts against the share of its client account, in bytes. */
 const MIN_ACCOUNT_BODY_BYTES = 64 * 1024
 
-/** What a body that is being received tells its connection. */
-export interface BodyEvents {
+/** What a body that is being received tells its connection, and needs to know. */
+export interface BodyConnection {
+  /** Time since bytes were received, in ms. */
+  readonly idleMs: number
   beginBody: (body: RequestBody) => void
   /** A chunk was received; `heldBytes` are those of all chunks. */
   noteBodyChunk: (heldBytes: number) => void
@@ -30,11 +32,9 @@
   private accountShare: clientShares.ClientShare | undefined
   private heldBytes = 0
   private timer: Disposable | undefined
-  /** Whether a chunk has arrived since the idle timer was started. */
-  private arriving = false
   private settle: ((outcome: Uint8Array | errors.Refusal | undefined) => void) | undefined
 
-  constructor (private readonly memory: bytes.ByteBudget, private readonly timers: time.Timers, private readonly limits: serving.CallerLimits, private readonly events?: BodyEvents, private readonly accountOf?: AccountOf) {
+  constructor (private readonly memory: bytes.ByteBudget, private readonly timers: time.Timers, private readonly limits: serving.CallerLimits, private readonly connection?: BodyConnection, private readonly accountOf?: AccountOf) {
     this.collector = new bytes.ByteCollector(limits.bodyBytes)
   }
 
@@ -49,11 +49,11 @@
       this.settle = (outcome) => {
         this.settle = undefined
         this.timer?.[Symbol.dispose]()
-        this.events?.endBody()
+        this.connection?.endBody()
         resolve(outcome)
       }
-      this.events?.beginBody(this)
-      this.startIdleTimer()
+      this.connection?.beginBody(this)
+      this.startIdleTimer(this.limits.idleTimeoutMs)
       req.on('data', (chunk: Buffer) => this.receive(req, chunk))
       req.on('end', () => this.settle?.(this.collector.take()))
       req.on('error', () => this.settle?.(undefined))
@@ -79,9 +79,8 @@
   }
 
   private receive (req: http.IncomingMessage, chunk: Buffer): void {
-    this.events?.noteBodyChunk(this.heldBytes + chunk.length)
+    this.connection?.noteBodyChunk(this.heldBytes + chunk.length)
     if (this.settle === undefined) return
-    this.arriving = true
     const refusal = this.add(req, chunk)
     if (refusal !== undefined) this.settle(refusal)
   }
@@ -100,10 +99,11 @@
     this.accountShare?.memory.take(this.heldBytes)
   }
 
-  private startIdleTimer (): void {
-    this.arriving = false
-    this.timer = this.timers.after(this.limits.idleTimeoutMs, () => {
-      if (this.arriving) this.startIdleTimer()
+  // The timer is not started again for each chunk: a body may have millions.
+  private startIdleTimer (waitMs: number): void {
+    this.timer = this.timers.after(waitMs, () => {
+      const leftMs = this.limits.idleTimeoutMs - (this.connection?.idleMs ?? Infinity)
+      if (leftMs > 0) this.startIdleTimer(leftMs)
       else this.settle?.(new errors.Refusal('request_too_slow', { step: 'parse', ran: 'no' }))
     })
   }
