Release the unread output of responses that wait for an earlier one when their connection closes

Cause: such a response emits no 'close', so that its bytes stayed in the budget for good. Change: a connection releases what is left when it closes; the test of unread output sends two requests and fails without it. The whole heap is not collected at every measurement while the process is too large, but by amount.

--- a/src/gateway/caller-connection.ts
+++ b/src/gateway/caller-connection.ts
@@ -59,6 +59,7 @@
   private parsedRequest: http.IncomingMessage | undefined
   private readonly input: callerInput.CallerInput
   private body: IncomingBody | undefined
+  private closed = false
   private headBytes = 0
   private bodyBytesAtProgress = 0
   /** Bytes of output that the caller has not read. */
@@ -177,6 +178,7 @@
 
   /** Changes the bytes of output that the caller has not read. */
   addUnread (size: number): void {
+    if (this.closed) return
     this.unreadBytes += size
     this.memory.take(size)
     if (this.unreadBytes === 0) {
@@ -218,9 +220,12 @@
   /** Releases everything; the connection has closed. */
   close (): void {
     for (const req of [...this.pending.keys()]) this.end(req)
+    this.closed = true
     this.input.discard()
     this.clearHead()
-    this.memory.release(CONNECTION_BYTES)
+    // Responses that wait for an earlier one do not tell that their output is gone.
+    this.memory.release(CONNECTION_BYTES + this.unreadBytes)
+    this.unreadBytes = 0
     this.deps.onReleased(this)
   }
 
--- a/src/resources/process-resources.ts
+++ b/src/resources/process-resources.ts
@@ -14,6 +14,9 @@
 /** Share of the limit on the resident size from which on released buffers are collected; below it V8 decides. */
 const COLLECTION_SIZE_SHARE = 0.8
 
+/** Share of the usual released bytes after which the heap is collected while the process is too large. */
+const HIGH_RELEASED_SHARE = 0.25
+
 /** Share of the buffers' limit that they may hold while the process is too large nevertheless. */
 const HIGH_MEMORY_BUFFER_SHARE = 0.4
 
@@ -79,7 +82,7 @@
     if (isHigh && this.deps.env.clock.now() - this.highAt >= MIN_HIGH_INTERVAL_MS) this.noteHigh(residentBytes)
     if (residentBytes < this.limits.residentBytes * COLLECTION_SIZE_SHARE) return
     const releasedBytes = this.buffers.releasedBytes - this.releasedAtCollection
-    if (releasedBytes < this.limits.releasedBeforeCollection && (!isHigh || releasedBytes === 0)) return
+    if (releasedBytes < this.limits.releasedBeforeCollection * (isHigh ? HIGH_RELEASED_SHARE : 1)) return
     this.releasedAtCollection = this.buffers.releasedBytes
     this.deps.process.collect('major')
   }
--- a/test/gateway/caller-limits.test.ts
+++ b/test/gateway/caller-limits.test.ts
@@ -101,7 +101,9 @@
     await frontend.listen()
     using caller = new raw.RawCaller(frontend.port)
     caller.setReading(false)
-    caller.send(raw.requestHead('r1', ['Content-Length: 0']))
+    // Also the response that waits for the first one must be released.
+    caller.send(raw.requestHead('r1', ['Content-Length: 0']).repeat(2))
+    await until(() => frontend.heldBytes > 16 * 1024 * 1024)
     await until(() => frontend.dropped('output_not_read') === 1)
     await until(() => frontend.heldBytes === 0)
   })
