--- a/src/resources/process-limits.ts
+++ b/src/resources/process-limits.ts
@@ -34,6 +34,9 @@
 /** Descriptors that the operators reserve for files. */
 const FILE_DESCRIPTORS = 200
 
+/** Descriptors for connections at least; with none nobody would be served. */
+const MIN_CONNECTION_DESCRIPTORS = 64
+
 /** Share of the other descriptors for connections of callers, and for those to targets; peers and the store use the rest. */
 const CALLER_DESCRIPTOR_SHARE = 0.6
 const TARGET_DESCRIPTOR_SHARE = 0.3
@@ -67,7 +70,7 @@
 
 /** Computes the limits of a process that has `residentBytes` at its start. */
 export function computeLimits (vm: VmLimits, residentBytes: number): ProcessLimits {
-  const descriptors = vm.descriptors === undefined ? Infinity : Math.max(0, vm.descriptors - FILE_DESCRIPTORS)
+  const descriptors = vm.descriptors === undefined ? Infinity : Math.max(MIN_CONNECTION_DESCRIPTORS, vm.descriptors - FILE_DESCRIPTORS)
   const connections = { callerConnections: Math.floor(descriptors * CALLER_DESCRIPTOR_SHARE), targetConnections: Math.floor(descriptors * TARGET_DESCRIPTOR_SHARE) }
   if (vm.memoryBytes === undefined) {
     return { ...connections, bufferBytes: MAX_BUFFER_BYTES, residentBytes: Infinity, receivedBeforeCollection: Infinity, releasedBeforeCollection: Infinity, activeRequests: MAX_ACTIVE_REQUESTS, savesMemory: false }
