Late calls wait at their gateway until a target has room

Cause: a call that could not meet its objective was sent at once under a deferred priority, but engines prefill in the order of arrival, so a large late prompt delayed the urgent calls behind it. Gateways had no queue. Change: src/waiting decides between the choice of a target and the first attempt: send, wait until the latest start, or refuse with a retry-after from the measured rate of room. Topic waiting of the exchange; a stop refuses waiting calls with 503. Calls that are placed again after a wait count once in the work of their account. Ruled out: to count sends at the latest start as room (the rate then follows the arrivals); to refuse every late call that has others ahead of it (fewer answers, and urgent calls refused too).

--- a/src/admission/account-work.ts
+++ b/src/admission/account-work.ts
@@ -55,6 +55,15 @@
     return activeAccounts > 1 && decayedAmount(own, now) > MAX_SHARE_FACTOR * totalWork / activeAccounts
   }
 
+  /** Number of doublings by which an account is above {@link MAX_SHARE_FACTOR} equal shares, rounded up; 0 within them. */
+  excessOf (account: string): number {
+    const now = this.clock.now()
+    const own = this.workByAccount.get(account)
+    if (own === undefined || !this.exceedsShare(account)) return 0
+    const { totalWork, activeAccounts } = this.currentTotals(now)
+    return Math.max(1, Math.ceil(Math.log2(decayedAmount(own, now) * activeAccounts / (MAX_SHARE_FACTOR * totalWork))))
+  }
+
   private currentTotals (now: number): Totals {
     if (now - this.totals.computedAt < TOTALS_LIFE_MS) return this.totals
     const amounts = [...this.workByAccount.values()].map((work) => decayedAmount(work, now))
--- a/src/forward/call-state.ts
+++ b/src/forward/call-state.ts
@@ -3,6 +3,7 @@
 import type * as metrics from '../metrics/index.js'
 import type * as retry from '../retry/index.js'
 import * as upstream from '../upstream/index.js'
+import type * as waiting from '../waiting/index.js'
 import * as callRetries from './call-retries.js'
 import * as sentTargets from './sent-targets.js'
 import * as streamProgress from './stream-progress.js'
@@ -31,6 +32,8 @@
   readonly trials: Set<string>
   /** Whether a send of this call may have reached a target. */
   wasSent: boolean
+  /** Set while the call waits for a target before its first attempt. */
+  held: waiting.HeldCall | undefined
   mayHaveExecuted: boolean
   endedBy: EarlyEnd | undefined
   lastResponse: TargetResponse | undefined
@@ -57,6 +60,7 @@
     triedTargets: new Set(),
     trials: new Set(),
     wasSent: false,
+    held: undefined,
     mayHaveExecuted: false,
     endedBy: undefined,
     lastResponse: undefined,
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -3,7 +3,9 @@
 import type * as calls from '../call/index.js'
 import * as errors from '../errors/index.js'
 import type * as fleet from '../fleet/index.js'
+import type * as placement from '../placement/index.js'
 import type * as quarantine from '../quarantine/index.js'
+import type * as waiting from '../waiting/index.js'
 import * as attempt from './attempt.js'
 import * as attemptRace from './attempt-race.js'
 import * as attemptRecorder from './attempt-recorder.js'
@@ -24,6 +26,8 @@
 
 /** Dependencies of a forwarder. */
 export interface ForwarderDeps extends Omit<attempt.AttemptDeps, 'responseMemory'>, attemptRecorder.RecorderDeps, Omit<nextTarget.NextTargetDeps, 'quarantine'>, callState.CallStateDeps {
+  /** Decides which calls wait before their first attempt; absent: none does. */
+  readonly admission?: waiting.CallAdmission | undefined
   readonly quarantine: Pick<quarantine.SegmentQuarantine, 'admit' | 'waitMs' | 'isBarred' | 'returnTrials' | 'noteLost' | 'noteAnswered'>
   /** Age of the list of targets, in ms. */
   readonly listAgeMs: () => number
@@ -78,13 +82,33 @@
   }
 
   private async attemptUntilDone (): Promise<errors.Refusal | undefined> {
+    let choice = this.target.choose()
+    const held = this.admit(choice)
+    if (held instanceof errors.Refusal) return this.giveUp(new noPlacement.NoPlacement(held))
+    if (held !== undefined) choice = await this.chooseAfterWait(held)
     for (;;) {
-      const next = this.target.next()
+      const next = choice instanceof noPlacement.NoPlacement ? choice : this.target.commit(choice)
       if (next instanceof noPlacement.NoPlacement) return this.giveUp(next)
       if (await this.race.run(next)) return undefined
+      choice = this.target.choose()
     }
   }
 
+  /** Asks whether the call waits before its first attempt; undefined when it goes on now. */
+  private admit (choice: placement.Placement | noPlacement.NoPlacement): waiting.HeldCall | errors.Refusal | undefined {
+    const { admission } = this.deps
+    if (admission === undefined) return undefined
+    if (!(choice instanceof noPlacement.NoPlacement)) return admission.admit(this.call, { choice, lateMs: 0 })
+    return choice.isUnplaced ? admission.admit(this.call, { choice: undefined, lateMs: choice.lateMs }) : undefined
+  }
+
+  private async chooseAfterWait (held: waiting.HeldCall): Promise<placement.Placement | noPlacement.NoPlacement> {
+    this.state.held = held
+    const refusal = await held.ended
+    this.state.held = undefined
+    return refusal === undefined ? this.target.choose() : new noPlacement.NoPlacement(refusal)
+  }
+
   /** One attempt, with a prefill at another target when serving is split; true once a response was delivered. */
   private async attemptAt (run: attemptRace.Run): Promise<boolean> {
     const { choice } = run
@@ -230,6 +254,7 @@
 
   private endEarly (reason: callState.EarlyEnd): void {
     this.state.endedBy ??= reason
+    this.state.held?.leave()
     this.race.stop(reason)
   }
 
@@ -250,10 +275,11 @@
       this.deliver(lastResponse)
       return undefined
     }
-    return callDecisions.refusalOf(this.state, reason, () => this.retryAfterMs(lateMs))
+    return callDecisions.refusalOf(this.state, reason, () => this.retryAfterMs(reason, lateMs))
   }
 
-  private retryAfterMs (lateMs: number): number {
+  private retryAfterMs (reason: errors.Refusal | errors.RefusalReason, lateMs: number): number {
+    if (reason === 'deadline_unreachable' && this.deps.admission !== undefined) return this.deps.admission.retryAfterMs(this.call, lateMs)
     return RETRY_AFTER_MIN_MS + lateMs + (RETRY_AFTER_MAX_MS - RETRY_AFTER_MIN_MS) * this.deps.env.random.next()
   }
 
--- a/src/forward/next-target.ts
+++ b/src/forward/next-target.ts
@@ -27,10 +27,26 @@
 export class NextTarget {
   constructor (private readonly deps: NextTargetDeps, private readonly state: callState.CallState, private readonly inFlight: InFlight) {}
 
-  /** Where the call is sent next; takes a retry from the budget if the send is one. */
-  next (): placement.Placement | noPlacement.NoPlacement {
-    const choice = this.choose(false)
-    return choice instanceof noPlacement.NoPlacement ? choice : this.commit(choice)
+  /**
+   * Where the call may be sent now. A send beside another one has no prefill at a further target, as two targets must not go
+   * on with one call.
+   */
+  choose (beside = false): placement.Placement | noPlacement.NoPlacement {
+    const stopReason = this.reasonToStop()
+    if (stopReason !== undefined) return new noPlacement.NoPlacement(stopReason)
+    const choice = this.chooseTarget()
+    if (choice === undefined || (beside && choice.prefillTarget !== undefined)) return new noPlacement.NoPlacement('no_target')
+    const lateMs = this.lateMs(choice)
+    return lateMs > 0 ? new noPlacement.NoPlacement('deadline_unreachable', lateMs) : choice
+  }
+
+  /** Takes what a send needs: a retry from the budget if it is one, and a trial of a quarantined segment. */
+  commit (choice: placement.Placement): placement.Placement | noPlacement.NoPlacement {
+    const { call: { prompt }, reply, trials, mayHaveExecuted } = this.state
+    if (!this.mayAttempt()) return new noPlacement.NoPlacement(mayHaveExecuted ? 'target_failed' : 'retry_budget_exhausted')
+    // A trial is taken only for a send.
+    if (prompt !== undefined && !reply.started) this.deps.quarantine.admit(prompt, trials)
+    return choice
   }
 
   /** Where the call may be sent while a run is silent. A call with a quarantined segment is tried at one target only. */
@@ -59,24 +75,6 @@
     return state.call.checkAuthorization() ?? this.checkQuarantine()
   }
 
-  // A send beside another one has no prefill at a further target, as two targets must not go on with one call.
-  private choose (beside: boolean): placement.Placement | noPlacement.NoPlacement {
-    const stopReason = this.reasonToStop()
-    if (stopReason !== undefined) return new noPlacement.NoPlacement(stopReason)
-    const choice = this.chooseTarget()
-    if (choice === undefined || (beside && choice.prefillTarget !== undefined)) return new noPlacement.NoPlacement('no_target')
-    const lateMs = this.lateMs(choice)
-    return lateMs > 0 ? new noPlacement.NoPlacement('deadline_unreachable', lateMs) : choice
-  }
-
-  // Takes what a send needs: a retry, and a trial of a quarantined segment, which is taken only for a send.
-  private commit (choice: placement.Placement): placement.Placement | noPlacement.NoPlacement {
-    const { call: { prompt }, reply, trials, mayHaveExecuted } = this.state
-    if (!this.mayAttempt()) return new noPlacement.NoPlacement(mayHaveExecuted ? 'target_failed' : 'retry_budget_exhausted')
-    if (prompt !== undefined && !reply.started) this.deps.quarantine.admit(prompt, trials)
-    return choice
-  }
-
   private checkQuarantine (): errors.Refusal | undefined {
     const { call: { prompt }, trials } = this.state
     const retryAfterMs = prompt === undefined ? undefined : this.deps.quarantine.waitMs(prompt, trials)
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -1,4 +1,5 @@
 /** A gateway process: composes its components and stops them in order. */
+import * as admission from '../admission/index.js'
 import * as directory from '../directory/index.js'
 import * as duties from '../duties/index.js'
 import * as exchange from '../exchange/index.js'
@@ -15,6 +16,7 @@
 import * as serving from '../serving/index.js'
 import * as time from '../time/index.js'
 import * as upstream from '../upstream/index.js'
+import * as waiting from '../waiting/index.js'
 import * as gateway from './gateway.js'
 import * as httpFrontend from './http-frontend.js'
 import * as stopTimes from './stop-times.js'
@@ -78,6 +80,8 @@
   private readonly quarantine: quarantine.SegmentQuarantine
   private readonly quarantineRecords: quarantine.QuarantineRecords
   private readonly pool: upstream.ConnectionPool
+  private readonly accountWork: admission.AccountWork
+  private readonly admission: waiting.CallAdmission
   private readonly peers: peer.TcpPeers
   private readonly roster: exchange.Roster
   private readonly exchange: exchange.Exchange
@@ -109,7 +113,9 @@
     this.usageLedger = new duties.UsageLedger({ env, store, eras: deps.eras, name: `${settings.name}.${settings.incarnation}`, windowMs, isRelay, log })
     this.quarantine = new quarantine.SegmentQuarantine({ clock: env.clock, selfName: settings.name, gateways: () => this.directory.gatewayNames(), log })
     this.quarantineRecords = new quarantine.QuarantineRecords({ env, store, eras: deps.eras, quarantine: this.quarantine, log })
-    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine]
+    this.accountWork = new admission.AccountWork(env.clock)
+    this.admission = new waiting.CallAdmission({ env, fleet: this.fleet, accountWork: this.accountWork, log, metrics })
+    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine, this.admission.topic]
     this.exchange = new exchange.Exchange({ env, elapsed: this.elapsed, peers: this.peers, self, roster: this.roster, topics, ready: () => this.ready, log })
     this.directory = new directory.Directory({ env, store, eras: deps.eras, self, roster: this.roster, isRelay, ready: () => this.ready, log })
     this.cacheFeed = this.createCacheFeed()
@@ -181,6 +187,7 @@
     await time.withTimeout(env.timers, Math.min(RELEASE_TIMEOUT_MS, times.acceptUntil - times.startedAt), this.releaseLeaseAndDeregister(), () => undefined)
     await this.waitFor(() => this.refusing, times.callsEndAt)
     this.frontend.stopListening()
+    this.admission.close()
     const allWritten = (): boolean => this.frontend.activeRequests === 0 && this.frontend.unfinishedResponses === 0
     await this.waitFor(allWritten, times.callsEndAt)
     // No call begins to execute after this, so that the counts of executed calls are final.
@@ -233,7 +240,7 @@
     const { env, settings, targetProtocol, log, metrics } = this.deps
     const gateways = (): number => this.directory.gatewayCount
     const plainPlacer = new placement.PlainPlacer(this.fleet, env, settings.domain, gateways)
-    const enginePlacer = new placement.EnginePlacer(this.fleet, env, settings.domain, gateways)
+    const enginePlacer = new placement.EnginePlacer(this.fleet, env, settings.domain, gateways, this.accountWork)
     const forwarder = new forward.Forwarder({
       env,
       upstream: this.pool,
@@ -242,6 +249,7 @@
       placerFor: (call) => call.service.engine === undefined ? plainPlacer : enginePlacer,
       budgetFor: (service) => this.budgetFor(service),
       fleet: this.fleet,
+      admission: this.admission,
       quarantine: this.quarantine,
       listAgeMs: () => this.fleetFeed.listAgeMs,
       configVersion: () => this.feed.current()?.config.version,
--- a/src/placement/engine-placer.ts
+++ b/src/placement/engine-placer.ts
@@ -21,7 +21,7 @@
 const FIRST_EVENT_OVERHEAD_MS = 35
 
 /** A call keeps its own priority while its expected time is at most the latency objective times this factor. */
-const SLO_TOLERANCE_FACTOR = 1.1
+export const SLO_TOLERANCE_FACTOR = 1.1
 
 /** Engines count as busy when the expected time of a call is above this share of its latency objective. */
 const BUSY_SLO_SHARE = 0.7
@@ -114,11 +114,10 @@
 
 /** Places model calls by cached tokens, prefill backlog, load, recent failures and failure domain. */
 export class EnginePlacer implements types.Placer {
-  private readonly accountWork: admission.AccountWork
+  /** Calls whose work was counted; a call that waited, or is sent again, is placed more than once. */
+  private readonly counted = new WeakSet<calls.Call>()
 
-  constructor (private readonly fleet: fleet.Fleet, private readonly env: time.Env, private readonly ownDomain: string, private readonly gatewayCount: () => number) {
-    this.accountWork = new admission.AccountWork(env.clock)
-  }
+  constructor (private readonly fleet: fleet.Fleet, private readonly env: time.Env, private readonly ownDomain: string, private readonly gatewayCount: () => number, private readonly accountWork = new admission.AccountWork(env.clock)) {}
 
   // A call that cannot meet its objective is sent under the deferred priority: it delays no call that can, and
   // executes when there is capacity to spare.
@@ -131,11 +130,16 @@
     const sources = new segmentSource.SegmentSources(call.prompt, allTargets, now)
     const chosen = this.cheapestCandidate(call, byAffinity, sources, now)
     if (chosen === undefined) return undefined
-    // The prefill work of a call counts once for its account, not again for its retries.
-    if (tried.size === 0 && call.account !== undefined) this.accountWork.add(call.account, chosen.prefillTokens ?? 0)
+    this.countWork(call, chosen)
     return this.isDeferred(call, chosen.expectedMs + now - call.arrivedAt) ? { ...chosen, priority: fleet.deferredPriority(call.priority) } : chosen
   }
 
+  private countWork (call: calls.Call, { prefillTokens }: Candidate): void {
+    if (call.account === undefined || this.counted.has(call)) return
+    this.counted.add(call)
+    this.accountWork.add(call.account, prefillTokens ?? 0)
+  }
+
   // While engines are busy, calls of an account that exceeds its share are deferred too. `expectedMs` counts from the
   // call's arrival.
   private isDeferred (call: calls.Call, expectedMs: number): boolean {
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,4 +1,4 @@
 /** Placement: choice of the target of each call. */
 export type { Placement, Placer } from './types.js'
-export { PlainPlacer } from './plain-placer.js'
-export { EnginePlacer } from './engine-placer.js'
+export { PLAIN_CALL_MS, PlainPlacer } from './plain-placer.js'
+export { EnginePlacer, SLO_TOLERANCE_FACTOR } from './engine-placer.js'
--- a/src/placement/plain-placer.ts
+++ b/src/placement/plain-placer.ts
@@ -9,7 +9,7 @@
 import type * as types from './types.js'
 
 /** Expected time of a call on an idle target, in ms; does not affect the choice of a target. */
-const IDLE_CALL_MS = 40
+export const PLAIN_CALL_MS = 40
 
 /** Cost of a target whose calls all fail, in calls waiting per slot. */
 const FAILURE_COST_PER_SLOT = 8
@@ -35,7 +35,7 @@
     }
     if (cheapest === undefined) return undefined
     const waitingPerSlot = Math.max(0, cheapest.load(now) + 1 - cheapest.record.slots) / cheapest.record.slots
-    return { target: cheapest, priority: call.priority, expectedMs: IDLE_CALL_MS * (1 + waitingPerSlot) }
+    return { target: cheapest, priority: call.priority, expectedMs: PLAIN_CALL_MS * (1 + waitingPerSlot) }
   }
 
   // In calls per slot; a random tenth of a call breaks ties.
--- /dev/null
+++ b/test/support/overload.ts
@@ -0,0 +1,154 @@
+/** Gateways that send calls to engines in virtual time, with or without waiting calls, for replays of overload. */
+import * as admission from '../../src/admission/index.js'
+import type * as calls from '../../src/call/index.js'
+import type * as errors from '../../src/errors/index.js'
+import type * as exchange from '../../src/exchange/index.js'
+import type * as fleet from '../../src/fleet/index.js'
+import * as forward from '../../src/forward/index.js'
+import * as log from '../../src/log/index.js'
+import * as metrics from '../../src/metrics/index.js'
+import * as placement from '../../src/placement/index.js'
+import * as quarantine from '../../src/quarantine/index.js'
+import * as retry from '../../src/retry/index.js'
+import type * as serving from '../../src/serving/index.js'
+import * as time from '../../src/time/index.js'
+import * as waiting from '../../src/waiting/index.js'
+import * as platformTarget from '../../platform/target-protocol.js'
+import * as build from './gateway-builders.js'
+import * as model from './model-engines.js'
+
+const SIZES: model.EngineSizes = { tokensPerMs: { prefill: 48, decode: 48 }, tokenMs: 2, tokenMsDuringPrefill: 4, tokensPerEvent: 10, kvCapacityTokens: 460_000, transferMsPerToken: 0.001 }
+
+/** Time between two exchanges of the gateways, in ms. */
+const EXCHANGE_MS = 100
+
+export const SERVICE = build.aService({ maxConnections: 700, engine: { slots: 64, kvCapacityTokens: 460_000 } })
+
+/** Urgent short calls, and large ones whose objective is lost as soon as engines have a backlog. */
+export const URGENT = build.aRoute({ name: 'urgent', streaming: true, idempotency: 'resumable', sloMs: 800, callerIdleTimeoutMs: 3_200, priority: 0 })
+export const LARGE = build.aRoute({ name: 'large', streaming: true, idempotency: 'resumable', sloMs: 1_000, callerIdleTimeoutMs: 4_000, priority: 3 })
+export const SHORT_TOKENS = 1_500
+export const LARGE_TOKENS = 36_000
+
+export interface Outcome {
+  readonly route: serving.ServingRoute
+  readonly account: string
+  readonly sentAt: number
+  firstEventMs: number | undefined
+  refusal: errors.Refusal | undefined
+  /** The outcome of the call that this one repeats; undefined for a first one. */
+  repeats: Outcome | undefined
+}
+
+/** What callers do after a refusal: give up, return once after the retry-after, or repeat at once, up to ten times. */
+export type Patience = 'none' | 'returns' | 'repeats'
+
+class TimedReply extends build.RecordedReply {
+  constructor (private readonly clock: time.Clock, private readonly outcome: Outcome) { super() }
+
+  override write (chunk: Uint8Array): boolean {
+    this.outcome.firstEventMs ??= this.clock.now() - this.outcome.sentAt
+    return super.write(chunk)
+  }
+}
+
+interface OverloadGateway {
+  readonly fleet: fleet.Fleet
+  readonly admission: waiting.CallAdmission
+  readonly forwarder: forward.Forwarder
+}
+
+/** Gateways, engines and callers. */
+export class Overload {
+  readonly virtual = new time.VirtualTime()
+  readonly outcomes: Outcome[] = []
+  readonly counters = new metrics.Metrics()
+  readonly lines: Array<{ readonly event: string, readonly fields: Readonly<Record<string, unknown>> }> = []
+  readonly gateways: OverloadGateway[]
+  private readonly records: serving.TargetRecord[]
+  private readonly engines: model.ModelEngines
+
+  constructor (opts: { readonly engines: number, readonly gateways?: number, readonly queue: boolean }) {
+    this.records = Array.from({ length: opts.engines }, (_, index) => build.aTarget(`e${index}`, { address: `10.0.0.${index}:80`, domain: `d${index % 2}`, stage: 'decode', slots: 64 }))
+    this.engines = new model.ModelEngines(this.virtual, SIZES, this.records)
+    this.gateways = Array.from({ length: opts.gateways ?? 1 }, (_, index) => this.createGateway(index, opts))
+    this.virtual.every(EXCHANGE_MS, () => this.exchange())
+  }
+
+  /** Removes the engines of a failure domain from the fleet: they get no further calls. */
+  reclaim (domain: string): void {
+    for (const { fleet } of this.gateways) fleet.apply(this.records.map((record) => ({ ...record, leaving: record.domain === domain })))
+  }
+
+  /** Sends a call through a gateway. */
+  send (route: serving.ServingRoute, tokens: number, { account = 'acc', gateway = 0, patience = 'none' as Patience, tries = 0, repeats = undefined as Outcome | undefined } = {}): Outcome {
+    const outcome: Outcome = { route, account, sentAt: this.virtual.now(), firstEventMs: undefined, refusal: undefined, repeats }
+    this.outcomes.push(outcome)
+    const id = `c${this.outcomes.length}`
+    const prompt: calls.Prompt = { promptTokens: tokens, outputTokens: 20, segments: [{ id, tokens }] }
+    const call = build.aCall({ id, route, service: SERVICE, account, priority: route.priority, arrivedAt: outcome.sentAt, deadlineAt: outcome.sentAt + 5_000, prompt })
+    this.gateways[gateway]!.forwarder.forward(call, new TimedReply(this.virtual, outcome), new AbortController().signal).then((refusal) => {
+      outcome.refusal = refusal
+      const maxTries = patience === 'none' ? 0 : patience === 'returns' ? 1 : 10
+      if (refusal?.detail.ran !== 'no' || tries >= maxTries) return
+      const delayMs = patience === 'repeats' ? 5 : refusal.detail.retryAfterMs ?? 0
+      this.virtual.after(delayMs, () => this.send(route, tokens, { account, gateway, patience, tries: tries + 1, repeats: outcome }))
+    }, (err: unknown) => { throw err })
+    return outcome
+  }
+
+  /** Sends calls at an even rate. */
+  every (perSecond: number, ms: number, send: (index: number) => void): void {
+    const count = Math.round(ms * perSecond / 1_000)
+    for (let index = 0; index < count; index++) this.virtual.after(index * ms / count, () => send(index))
+  }
+
+  /** Share of the calls that got their first event within `ms`, possibly when they were repeated, of those that `counts` selects. */
+  share (counts: (outcome: Outcome) => boolean, ms: (outcome: Outcome) => number = (outcome) => outcome.route.sloMs): number {
+    const selected = this.outcomes.filter(counts)
+    const answered = selected.filter((outcome) => outcome.firstEventMs !== undefined && outcome.firstEventMs <= ms(outcome))
+    return answered.length / selected.filter((outcome) => outcome.repeats === undefined).length
+  }
+
+  private createGateway (index: number, { gateways = 1, queue }: { readonly gateways?: number, readonly queue: boolean }): OverloadGateway {
+    const env = this.virtual.env(index + 1)
+    const created = build.aFleet(this.virtual, this.records)
+    const accountWork = new admission.AccountWork(this.virtual)
+    const note = (fields: object, event: string): void => { this.lines.push({ event, fields: { ...fields } }) }
+    const logger = { debug: note, info: note, warn: note, error: note }
+    const calls = new waiting.CallAdmission({ env, fleet: created, accountWork, log: logger, metrics: this.counters })
+    const placer = new placement.EnginePlacer(created, env, 'd0', () => gateways, accountWork)
+    const budget = new retry.SharedRetryBudget(this.virtual, { ratio: 0.2, slack: 0, windowMs: 10_000 }, () => gateways)
+    const forwarder = new forward.Forwarder({
+      env,
+      upstream: this.engines,
+      protocol: this.engines.protocol(new platformTarget.HttpTargetProtocol()),
+      onExecution: () => {},
+      placerFor: () => placer,
+      budgetFor: () => budget,
+      fleet: created,
+      admission: queue ? calls : undefined,
+      quarantine: new quarantine.SegmentQuarantine({ clock: this.virtual, selfName: 'g', gateways: () => ['g'], log: log.SILENT_LOGGER }),
+      listAgeMs: () => 0,
+      configVersion: () => 1,
+      log: logger,
+      metrics: this.counters,
+      dropIdleConnections: () => {}
+    })
+    return { fleet: created, admission: calls, forwarder }
+  }
+
+  // Each gateway is a relay and tells each other one its load and its waiting calls.
+  private exchange (): void {
+    for (const [from, sender] of this.gateways.entries()) {
+      for (const [to, receiver] of this.gateways.entries()) {
+        if (from === to) continue
+        const link = (gateway: number): exchange.Link => ({ gateway: `g${gateway}`, incarnation: '1', kind: 'fellow' })
+        for (const [topic, other] of [[sender.fleet.peerLoad, receiver.fleet.peerLoad], [sender.admission.topic, receiver.admission.topic]] as const) {
+          const changes = topic.changesSince(link(to), 1)
+          if (changes !== undefined) other.apply(link(from), JSON.parse(JSON.stringify(changes.payload)))
+        }
+      }
+    }
+  }
+}
