Waiting calls: order of starts, connection limits, tests and replays of overload

Cause: in a replay of the return of all gateways, 40 large prompts were sent in the first 40 ms: calls with the same latest start did not count as ahead of each other, and calls that could no longer be answered moved the first ones forward. Change: equal calls count in the order of arrival; a call that is beyond its limit moves none forward; starts one after another count 0.8 of the capacity. Plain calls also wait when this gateway's share of connections is in use.

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -114,7 +114,7 @@
     this.quarantine = new quarantine.SegmentQuarantine({ clock: env.clock, selfName: settings.name, gateways: () => this.directory.gatewayNames(), log })
     this.quarantineRecords = new quarantine.QuarantineRecords({ env, store, eras: deps.eras, quarantine: this.quarantine, log })
     this.accountWork = new admission.AccountWork(env.clock)
-    this.admission = new waiting.CallAdmission({ env, fleet: this.fleet, accountWork: this.accountWork, log, metrics })
+    this.admission = new waiting.CallAdmission({ env, fleet: this.fleet, gateways: () => this.directory.gatewayCount, accountWork: this.accountWork, log, metrics })
     const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine, this.admission.topic]
     this.exchange = new exchange.Exchange({ env, elapsed: this.elapsed, peers: this.peers, self, roster: this.roster, topics, ready: () => this.ready, log })
     this.directory = new directory.Directory({ env, store, eras: deps.eras, self, roster: this.roster, isRelay, ready: () => this.ready, log })
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,4 +1,5 @@
 /** Placement: choice of the target of each call. */
+export { connectionShare } from './connection-share.js'
 export type { Placement, Placer } from './types.js'
 export { PLAIN_CALL_MS, PlainPlacer } from './plain-placer.js'
 export { EnginePlacer, SLO_TOLERANCE_FACTOR } from './engine-placer.js'
--- a/src/waiting/call-admission.ts
+++ b/src/waiting/call-admission.ts
@@ -6,6 +6,7 @@
 import type * as log from '../log/index.js'
 import type * as metrics from '../metrics/index.js'
 import * as placement from '../placement/index.js'
+import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
 import * as fleetRoom from './fleet-room.js'
 import * as heldCall from './held-call.js'
@@ -34,6 +35,8 @@
 export interface CallAdmissionDeps {
   readonly env: time.Env
   readonly fleet: fleet.Fleet
+  /** Number of gateways, which share the connections of a target. */
+  readonly gateways: () => number
   /** Recent work of the accounts. */
   readonly accountWork: Pick<admission.AccountWork, 'excessOf'>
   readonly log: log.Logger
@@ -50,6 +53,8 @@
 interface PoolQueue {
   readonly pool: fleetRoom.Pool
   readonly name: string
+  /** As of the first call that waited. */
+  readonly service: serving.ServingService
   readonly calls: waitingCalls.WaitingCalls<heldCall.HeldCall>
   readonly refused: refusedWork.RefusedWork
   timer: Disposable | undefined
@@ -76,7 +81,7 @@
       return undefined
     }
     if (this.closed) return stopping()
-    const queue = this.queueOf(pool)
+    const queue = this.queueOf(pool, call.service)
     const held = new heldCall.HeldCall(call, now, (left) => this.leave(queue, left))
     return this.offer(queue, held, candidate, now)
   }
@@ -105,7 +110,7 @@
     const { service, route, prompt } = call
     if (service.engine === undefined) {
       const inTime = choice !== undefined && lateMs <= 0
-      return inTime || !fleetRoom.allFull(this.deps.fleet.ofService(service.name), now) ? undefined : { service: service.name }
+      return inTime || !this.deps.fleet.ofService(service.name).some((state) => state.acceptsCalls(now)) ? undefined : { service: service.name }
     }
     if (choice === undefined || prompt === undefined || lateMs > 0) return undefined
     const pool = { service: service.name, stage: (choice.prefillTarget ?? choice.target).record.stage ?? 'decode' }
@@ -178,10 +183,13 @@
     return Math.min(RETRY_AFTER_MAX_MS, RETRY_AFTER_MIN_MS + lateMs + turnMs) + jitterMs
   }
 
-  private outlook (queue: PoolQueue, now: number): waitingCalls.Outlook {
-    const { service } = queue.pool
-    const room = fleetRoom.readRoom(queue.pool, this.deps.fleet.ofService(service), this.objectives.shortestMs(service, now), now)
-    return { room, others: this.topic.others(queue.name), random: this.deps.env.random.next() }
+  private outlook ({ pool, name, service }: PoolQueue, now: number): waitingCalls.Outlook {
+    const inputs = {
+      states: this.deps.fleet.ofService(pool.service),
+      maxRunning: placement.connectionShare(service, this.deps.gateways()),
+      objectiveMs: this.objectives.shortestMs(pool.service, now)
+    }
+    return { room: fleetRoom.readRoom(pool, inputs, now), others: this.topic.others(name), random: this.deps.env.random.next() }
   }
 
   private inputs (queue: PoolQueue, held: heldCall.HeldCall, { work, ownMs }: types.Estimate, { room, others }: waitingCalls.Outlook, now: number): object {
@@ -206,12 +214,12 @@
     return [...this.queues.values()].flatMap(({ name, calls }) => calls.totals(now).map(({ level, calls: count, work }): peerWaiting.WaitingRow => [name, level, count, Math.round(work)]))
   }
 
-  private queueOf (pool: fleetRoom.Pool): PoolQueue {
+  private queueOf (pool: fleetRoom.Pool, service: serving.ServingService): PoolQueue {
     const name = fleetRoom.poolName(pool)
     let queue = this.queues.get(name)
     if (queue === undefined) {
       const excessOf = (account: string): number => account === '' ? 0 : this.deps.accountWork.excessOf(account)
-      queue = { pool, name, calls: new waitingCalls.WaitingCalls({ bounds: BOUNDS, excessOf }), refused: new refusedWork.RefusedWork(), timer: undefined }
+      queue = { pool, name, service, calls: new waitingCalls.WaitingCalls({ bounds: BOUNDS, excessOf }), refused: new refusedWork.RefusedWork(), timer: undefined }
       this.queues.set(name, queue)
     }
     return queue
--- a/src/waiting/fleet-room.ts
+++ b/src/waiting/fleet-room.ts
@@ -19,57 +19,66 @@
   return stage === undefined ? service : `${service}/${stage}`
 }
 
-/** Room of a pool among the targets of its service; `objectiveMs` is the shortest of the calls that it serves. */
-export function readRoom (pool: Pool, states: readonly fleet.TargetState[], objectiveMs: number, now: number): types.Room {
-  return pool.stage === undefined ? plainRoom(states, objectiveMs, now) : engineRoom(pool.stage, states, objectiveMs, now)
+/** What the room of a pool is read from. */
+export interface RoomInputs {
+  /** Targets of the service. */
+  readonly states: readonly fleet.TargetState[]
+  /** Highest number of calls that this gateway may have in flight at one target. */
+  readonly maxRunning: number
+  /** Shortest objective of the calls that the service serves, in ms. */
+  readonly objectiveMs: number
 }
 
-/** Whether all targets that take calls have all their slots in use; false when none takes calls. */
-export function allFull (states: readonly fleet.TargetState[], now: number): boolean {
-  const usable = states.filter((state) => state.acceptsCalls(now))
-  return usable.length > 0 && usable.every((state) => state.load(now) >= state.record.slots)
+/** Room of a pool. */
+export function readRoom ({ stage }: Pool, inputs: RoomInputs, now: number): types.Room {
+  const states = inputs.states.filter((state) => state.acceptsCalls(now))
+  return stage === undefined ? plainRoom(states, inputs, now) : engineRoom(stage, states, inputs, now)
 }
 
 // After a prefill at a prefill-only engine, a mixed one needs a free slot too.
-function engineRoom (stage: serving.Stage, states: readonly fleet.TargetState[], objectiveMs: number, now: number): types.Room {
-  let backlogMs = Infinity
-  let freeBacklogMs = Infinity
-  let backlogWork = 0
-  let excessWork = 0
-  let workPerMs = 0
+function engineRoom (stage: serving.Stage, states: readonly fleet.TargetState[], inputs: RoomInputs, now: number): types.Room {
+  const sum = new RoomSum(inputs.objectiveMs * ENGINE_ROOM_SHARE)
   let mixedSlotFree = false
-  const roomMs = objectiveMs * ENGINE_ROOM_SHARE
   for (const state of states) {
-    if (!state.acceptsCalls(now)) continue
-    const slotFree = state.load(now) < state.record.slots
+    const slotFree = state.running < inputs.maxRunning && state.load(now) < state.record.slots
     const ownStage = state.record.stage ?? 'decode'
     if (ownStage === 'decode' && slotFree) mixedSlotFree = true
-    if (ownStage !== stage) continue
-    const tokensPerMs = state.prefillTokensPerMs(now)
-    const targetWork = state.prefillTokensAhead()
-    const targetMs = targetWork / tokensPerMs
-    backlogWork += targetWork
-    excessWork += Math.max(0, targetMs - roomMs) * tokensPerMs
-    workPerMs += tokensPerMs
-    backlogMs = Math.min(backlogMs, targetMs)
-    if (slotFree) freeBacklogMs = Math.min(freeBacklogMs, targetMs)
+    if (ownStage === stage) sum.add(state.prefillTokensAhead(), state.prefillTokensPerMs(now), slotFree)
   }
-  return { free: mixedSlotFree && freeBacklogMs <= roomMs, backlogMs: Number.isFinite(backlogMs) ? backlogMs : 0, backlogWork, excessWork, workPerMs }
+  return { ...sum.toRoom(), free: mixedSlotFree && sum.free }
 }
 
-function plainRoom (states: readonly fleet.TargetState[], objectiveMs: number, now: number): types.Room {
-  let backlogMs = Infinity
-  let backlogWork = 0
-  let excessWork = 0
-  let workPerMs = 0
+function plainRoom (states: readonly fleet.TargetState[], inputs: RoomInputs, now: number): types.Room {
+  const sum = new RoomSum(inputs.objectiveMs)
   for (const state of states) {
-    if (!state.acceptsCalls(now)) continue
     const { slots } = state.record
-    backlogWork += state.load(now)
-    workPerMs += slots / placement.PLAIN_CALL_MS
-    const targetMs = Math.max(0, state.load(now) + 1 - slots) / slots * placement.PLAIN_CALL_MS
-    excessWork += Math.max(0, targetMs - objectiveMs) * slots / placement.PLAIN_CALL_MS
-    backlogMs = Math.min(backlogMs, targetMs)
+    sum.add(Math.max(0, state.load(now) + 1 - slots), slots / placement.PLAIN_CALL_MS, state.running < inputs.maxRunning)
+  }
+  return sum.toRoom()
+}
+
+/** Adds up the backlogs of the targets of a pool; a target has room up to a backlog of `roomMs`. */
+class RoomSum {
+  free = false
+  private shortestMs = Infinity
+  private backlogWork = 0
+  private excessWork = 0
+  private workPerMs = 0
+
+  constructor (private readonly roomMs: number) {}
+
+  /** Adds a target that takes calls; `slotFree` tells whether it would take one more now. */
+  add (work: number, workPerMs: number, slotFree: boolean): void {
+    const ms = work / workPerMs
+    if (slotFree && ms <= this.roomMs) this.free = true
+    this.shortestMs = Math.min(this.shortestMs, ms)
+    this.backlogWork += work
+    this.excessWork += Math.max(0, ms - this.roomMs) * workPerMs
+    this.workPerMs += workPerMs
+  }
+
+  toRoom (): types.Room {
+    const { free, shortestMs, backlogWork, excessWork, workPerMs } = this
+    return { free, backlogMs: Number.isFinite(shortestMs) ? shortestMs : 0, backlogWork, excessWork, workPerMs }
   }
-  return { free: backlogMs <= objectiveMs, backlogMs: Number.isFinite(backlogMs) ? backlogMs : 0, backlogWork, excessWork, workPerMs }
 }
--- a/src/waiting/waiting-calls.ts
+++ b/src/waiting/waiting-calls.ts
@@ -16,9 +16,18 @@
  */
 const LATE_WORK_SHARE = 0.1
 
+/**
+ * Share of the capacity of the targets that counts where waiting calls have to start one after another; calls that can meet
+ * their objective are sent meanwhile.
+ */
+const START_CAPACITY_SHARE = 0.8
+
 /** Longest time for which room is left to calls of other gateways, in ms: some exchanges, after which it shows whether they take it. */
 const MAX_YIELD_MS = 300
 
+/** Time for which the urgency of a call is not determined again, in ms. */
+const LEVEL_LIFE_MS = 50
+
 /** What the queue knows besides its calls. */
 export interface QueueDeps {
   readonly bounds: types.QueueBounds
@@ -32,6 +41,9 @@
   readonly offeredAt: number
   /** Latest start at a target without backlog. */
   readonly startBy: number
+  /** Urgency, and when it was determined. */
+  level: number
+  levelAt: number
 }
 
 /** The next call to send, and why. */
@@ -70,7 +82,7 @@
     const { room, others } = outlook
     if (now + room.backlogMs + estimate.ownMs > call.limitAt) return { kind: 'refuse', cause: 'late', workAhead: 0 }
     const startBy = call.limitAt - estimate.ownMs * (1 + MARGIN_SHARE) - MARGIN_MS
-    const entry: Entry<C> = { call, ...estimate, offeredAt: now, startBy: Math.min(startBy, now + this.deps.bounds.waitMs) }
+    const entry: Entry<C> = { call, ...estimate, offeredAt: now, startBy: Math.min(startBy, now + this.deps.bounds.waitMs), level: 0, levelAt: -Infinity }
     if (this.size === 0 && room.free && !this.mayYield(entry, others, now)) return { kind: 'send' }
     const untilMs = entry.startBy - room.backlogMs
     if (untilMs <= now) return { kind: 'send' }
@@ -130,20 +142,23 @@
     return room.workPerMs * (own + elsewhere > 0 ? own / (own + elsewhere) : 1)
   }
 
-  // Whether some call can only be answered in time if the first one is sent now: calls start one after another.
+  // Whether some call can only be answered in time if the first one is sent now: calls start one after another. One that
+  // cannot be answered any more behind those before it moves none of them forward.
   private isDue ({ room }: Outlook, now: number): boolean {
+    const workPerMs = room.workPerMs * START_CAPACITY_SHARE
     let workBefore = 0
     for (const entry of this.entries) {
-      const beforeMs = room.workPerMs > 0 ? workBefore / room.workPerMs : 0
-      if (now + room.backlogMs + beforeMs >= entry.startBy) return true
+      const startAt = now + room.backlogMs + (workBefore > 0 ? workBefore / workPerMs : 0)
+      if (workBefore > 0 && startAt + entry.ownMs > entry.call.limitAt) continue
+      if (startAt >= entry.startBy) return true
       workBefore += entry.work
     }
     return false
   }
 
-  // Whether neither room comes back before the latest start, nor may so much work be sent without room.
+  // Whether room does not come back before the latest start, and too much work would be sent without room before.
   private isHopeless (entry: Entry<C>, workAhead: number, outlook: Outlook, leftMs: number, now: number): boolean {
-    if ((workAhead + outlook.room.excessWork) <= this.workPerMs(outlook, now, entry.work) * leftMs) return false
+    if (workAhead + outlook.room.excessWork <= this.workPerMs(outlook, now, entry.work) * leftMs) return false
     return workAhead > this.capacity(outlook, entry.work) * LATE_WORK_SHARE * leftMs
   }
 
@@ -159,8 +174,12 @@
     return a.startBy === b.startBy ? a.work < b.work : a.startBy < b.startBy
   }
 
-  private levelOf ({ call, ownMs }: Entry<C>, now: number): number {
-    return urgency.urgencyLevel(call, ownMs, this.deps.excessOf(call.account), now)
+  private levelOf (entry: Entry<C>, now: number): number {
+    if (now - entry.levelAt >= LEVEL_LIFE_MS) {
+      entry.level = urgency.urgencyLevel(entry.call, entry.ownMs, this.deps.excessOf(entry.call.account), now)
+      entry.levelAt = now
+    }
+    return entry.level
   }
 
   private mayYield (entry: Entry<C>, others: types.OthersWaiting, now: number): boolean {
@@ -178,7 +197,7 @@
 
   private workAhead (entry: Entry<C>, now: number): number {
     let work = 0
-    for (const other of this.entries) if (this.goesBefore(other, entry, now)) work += other.work
+    for (const other of this.entries) if (!this.goesBefore(entry, other, now)) work += other.work
     return work
   }
 
--- a/test/support/forwarder-fixture.ts
+++ b/test/support/forwarder-fixture.ts
@@ -1,4 +1,5 @@
 /** A forwarder in virtual time with scripted targets, for tests of one call. */
+import * as admission from '../../src/admission/index.js'
 import type * as calls from '../../src/call/index.js'
 import type * as errors from '../../src/errors/index.js'
 import * as forward from '../../src/forward/index.js'
@@ -9,6 +10,7 @@
 import * as retry from '../../src/retry/index.js'
 import * as time from '../../src/time/index.js'
 import type * as serving from '../../src/serving/index.js'
+import * as waiting from '../../src/waiting/index.js'
 import * as platformTarget from '../../platform/target-protocol.js'
 import * as build from './gateway-builders.js'
 
@@ -17,6 +19,8 @@
   readonly slack?: number
   readonly targets?: readonly serving.TargetRecord[]
   readonly placer?: 'plain' | 'engine'
+  /** Whether calls may wait before their first attempt. */
+  readonly waits?: boolean
 }
 
 /** A log line. */
@@ -29,7 +33,7 @@
 
 export type ForwarderFixture = ReturnType<typeof setUp>
 
-export function setUp ({ slack = 100, targets = [build.aTarget('a'), build.aTarget('b')], placer = 'plain' }: FixtureOptions = {}) {
+export function setUp ({ slack = 100, targets = [build.aTarget('a'), build.aTarget('b')], placer = 'plain', waits = false }: FixtureOptions = {}) {
   const virtual = new time.VirtualTime()
   const env = virtual.env(1)
   const upstream = new build.ScriptedUpstream()
@@ -42,6 +46,8 @@
   const counters = new metrics.Metrics()
   const chosenPlacer = placer === 'plain' ? new placement.PlainPlacer(fleet, env, 'd1', () => 1) : new placement.EnginePlacer(fleet, env, 'd1', () => 1)
   const segments = new quarantine.SegmentQuarantine({ clock: virtual, selfName: 'g', gateways: () => ['g'], log: log.SILENT_LOGGER })
+  const logger = { debug: note, info: note, warn: note, error: note }
+  const callAdmission = new waiting.CallAdmission({ env, fleet, gateways: () => 1, accountWork: new admission.AccountWork(virtual), log: logger, metrics: counters })
   const forwarder = new forward.Forwarder({
     env,
     upstream,
@@ -53,7 +59,8 @@
     quarantine: segments,
     listAgeMs: () => 0,
     configVersion: () => 1,
-    log: { debug: note, info: note, warn: note, error: note },
+    admission: waits ? callAdmission : undefined,
+    log: logger,
     metrics: counters,
     dropIdleConnections: (address) => dropped.push(address)
   })
--- a/test/support/overload.ts
+++ b/test/support/overload.ts
@@ -116,7 +116,7 @@
     const accountWork = new admission.AccountWork(this.virtual)
     const note = (fields: object, event: string): void => { this.lines.push({ event, fields: { ...fields } }) }
     const logger = { debug: note, info: note, warn: note, error: note }
-    const calls = new waiting.CallAdmission({ env, fleet: created, accountWork, log: logger, metrics: this.counters })
+    const calls = new waiting.CallAdmission({ env, fleet: created, gateways: () => gateways, accountWork, log: logger, metrics: this.counters })
     const placer = new placement.EnginePlacer(created, env, 'd0', () => gateways, accountWork)
     const budget = new retry.SharedRetryBudget(this.virtual, { ratio: 0.2, slack: 0, windowMs: 10_000 }, () => gateways)
     const forwarder = new forward.Forwarder({
