--- a/src/waiting/call-admission.ts
+++ b/src/waiting/call-admission.ts
@@ -112,11 +112,12 @@
       const inTime = choice !== undefined && lateMs <= 0
       return inTime || !this.deps.fleet.ofService(service.name).some((state) => state.acceptsCalls(now)) ? undefined : { service: service.name }
     }
-    if (choice === undefined || prompt === undefined || lateMs > 0) return undefined
-    const pool = { service: service.name, stage: (choice.prefillTarget ?? choice.target).record.stage ?? 'decode' }
-    if (now + choice.expectedMs > call.arrivedAt + route.sloMs * placement.SLO_TOLERANCE_FACTOR) return pool
+    if (choice === undefined || prompt === undefined) return undefined
+    const late = now + choice.expectedMs > call.arrivedAt + route.sloMs * placement.SLO_TOLERANCE_FACTOR
     // While engines are busy, the placement also defers calls of accounts above their share: they go behind those that wait.
-    return choice.priority !== call.priority && this.isAwaited(pool) ? pool : undefined
+    if (!late && choice.priority === call.priority) return undefined
+    const pool = { service: service.name, stage: (choice.prefillTarget ?? choice.target).record.stage ?? 'decode' }
+    return late || this.isAwaited(pool) ? pool : undefined
   }
 
   private isAwaited (pool: fleetRoom.Pool): boolean {
--- a/test/forward/held-call.test.ts
+++ b/test/forward/held-call.test.ts
@@ -41,11 +41,28 @@
     chai.expect([status, detail.ran, fixture.upstream.sends.length]).to.deep.equal([503, 'no', 4])
   })
 
+  it('is one with a prompt of known size that no engine can start soon; without a known size it is sent as before', async () => {
+    for (const [prompt, sends] of [[undefined, 1], [{ promptTokens: 5_000, outputTokens: 1, segments: [{ id: 'own', tokens: 5_000 }] }, 0]] as const) {
+      const fixture = fixtures.setUp({ placer: 'engine', waits: true })
+      for (const state of fixture.fleet.all()) state.pendingPrefillTokens = 20_000
+      const service = build.aService({ engine: { slots: 4, kvCapacityTokens: 100_000 } })
+      fixture.start(build.aCall({ service, prompt, route: fixtures.STREAM }))
+      await fixture.virtual.advance(50)
+      // The first late call shows what the service serves; only then it is known how much backlog leaves room.
+      fixture.start(build.aCall({ service, prompt, route: fixtures.STREAM }), new build.RecordedReply())
+      await fixture.virtual.advance(50)
+      chai.expect(fixture.upstream.sends.length - 1).to.equal(sends)
+    }
+  })
+
   it('leaves the queue at once when its caller disconnects', async () => {
     const fixture = await setUpFull()
     fixture.callerLeft.abort()
     await fixture.virtual.advance(1)
     chai.expect((fixture.outcome() as errors.Refusal).reason).to.equal('caller_disconnected')
+    fixtures.respond(fixture.upstream.sends[0]!, 200, 'done')
+    await fixture.virtual.advance(50)
+    chai.expect(fixture.counters.counter('godwitpoint_sent_after_waiting_total', `${COUNTER},cause="room"`)).to.equal(0)
     chai.expect(fixture.counters.counter('godwitpoint_left_while_waiting_total', COUNTER)).to.equal(1)
   })
 
--- a/test/waiting/waiting-calls.test.ts
+++ b/test/waiting/waiting-calls.test.ts
@@ -52,6 +52,10 @@
     offer({ id: 'z' })
     // The second call can start on time only if the first, which takes 625 ms of the share of all targets that counts, starts that much earlier.
     chai.expect([next(2_640, FULL), next(2_660, FULL), next(2_660, FULL), next(3_276, FULL)]).to.deep.equal([undefined, 'y', undefined, 'z'])
+    // With a tenth of the targets left, nothing can help the second call, which moves the first one no further forward.
+    offer({ id: 'y', account: 'b' }, { work: 50_000 })
+    offer({ id: 'z' })
+    chai.expect(next(2_000, { ...FULL, workPerMs: 10 })).to.equal(undefined)
   })
 
   it('refuses at once what cannot be answered in time: for itself, and behind work that room does not come back for', () => {
@@ -67,11 +71,16 @@
     chai.expect(queue.size).to.equal(3)
   })
 
-  it('admits more behind the same work when room was measured to come back', () => {
-    const { offer, next } = setUp()
-    offer({ id: 'a' }, { work: 60_000 })
-    for (let now = 0; now <= 1_000; now += 20) next(now, { ...FULL, backlogWork: 90_000 - now * 80 })
-    chai.expect(offer({ id: 'c', account: 'c' }, {}, FULL, 1_000).kind).to.equal('wait')
+  it('admits more behind the same work when room was measured to come back, or to take waiting calls', () => {
+    const decisionAfter = (backlogAt: (now: number) => number): string => {
+      const { offer, next } = setUp()
+      offer({ id: 'x', priority: 0 }, { work: 80_000 })
+      offer({ id: 'a' }, { work: 60_000 })
+      for (let now = 0; now <= 1_000; now += 20) next(now, { ...FULL, free: now === 500, backlogWork: backlogAt(now) })
+      return offer({ account: 'c', limitAt: 4_500 }, {}, { ...FULL, backlogWork: backlogAt(1_000) }, 1_000).kind
+    }
+    // The first call is sent at 500 ms: it adds to the backlog, or room for it has come back meanwhile.
+    chai.expect([decisionAfter((now) => now > 500 ? 130_000 : 50_000), decisionAfter(() => 50_000), decisionAfter((now) => (now > 500 ? 130_000 : 50_000) - now * 80)]).to.deep.equal(['refuse', 'wait', 'wait'])
   })
 
   it('bounds calls, bytes and time, and half of the calls and bytes for one account', () => {
@@ -88,8 +97,10 @@
 
   it('leaves room to more urgent calls elsewhere for a bounded time, and none when the exchange is silent', () => {
     const others: waiting.OthersWaiting = { workAbove: (level) => level > 1 ? 9_000 : 0, workAt: () => 0 }
-    const { offer, next } = setUp()
-    for (const id of ['x', 'y']) offer({ id })
+    const { queue, offer, next } = setUp()
+    const x = { id: 'x', account: 'x', priority: 2, bytes: 1, objectiveAt: 400, limitAt: 4_000 }
+    chai.expect(queue.offer(x, { work: 1_000, ownMs: 100 }, { room: FREE, others, random: 0 }, 0).kind).to.equal('wait')
+    offer({ id: 'y' })
     offer({ id: 'urgent', priority: 0 })
     chai.expect([next(0, FREE, others), next(0, FREE, others), next(299, FREE, others), next(300, FREE, others)]).to.deep.equal(['urgent', undefined, undefined, 'x'])
     chai.expect(next(310)).to.equal('y')
@@ -99,7 +110,8 @@
     const sentAt = (random: number, elsewhere: number): number => {
       const { offer, next } = setUp()
       offer({ id: 'x' })
-      for (let now = 0; ; now += 10) if (next(now, FREE, { workAbove: () => 0, workAt: () => elsewhere }, random) !== undefined) return now
+      for (let now = 0; now < 1_000; now += 10) if (next(now, FREE, { workAbove: () => 0, workAt: () => elsewhere }, random) !== undefined) return now
+      return Infinity
     }
     chai.expect([sentAt(0, 9_000), sentAt(0.5, 9_000), sentAt(0.9, 9_000), sentAt(0.9, 1_000)]).to.deep.equal([0, 140, 250, 140])
   })
