--- a/src/waiting/waiting-calls.ts
+++ b/src/waiting/waiting-calls.ts
@@ -87,7 +87,7 @@
     const untilMs = entry.startBy - room.backlogMs
     if (untilMs <= now) return { kind: 'send' }
     const workAhead = this.workAhead(entry, now)
-    const cause = this.exceededBound(entry) ?? (this.isHopeless(entry, workAhead, outlook, untilMs - now, now) ? 'queue' : undefined)
+    const cause = this.exceededBound(entry) ?? (this.exceedsCapacity(entry, workAhead, outlook, untilMs - now, now) ? 'queue' : undefined)
     if (cause !== undefined) return { kind: 'refuse', cause, workAhead }
     this.insert(entry, now, room)
     return { kind: 'wait', untilMs, workAhead }
@@ -157,7 +157,7 @@
   }
 
   // Whether room does not come back before the latest start, and too much work would be sent without room before.
-  private isHopeless (entry: Entry<C>, workAhead: number, outlook: Outlook, leftMs: number, now: number): boolean {
+  private exceedsCapacity (entry: Entry<C>, workAhead: number, outlook: Outlook, leftMs: number, now: number): boolean {
     if (workAhead + outlook.room.excessWork <= this.workPerMs(outlook, now, entry.work) * leftMs) return false
     return workAhead > this.capacity(outlook, entry.work) * LATE_WORK_SHARE * leftMs
   }
--- a/test/replay/overload.test.ts
+++ b/test/replay/overload.test.ts
@@ -46,7 +46,7 @@
   },
   {
     name: 'a burst of large prompts',
-    load: (replay) => { urgentFor(6_000)(replay); replay.every(60, 1_000, () => replay.send(LARGE, LARGE_TOKENS, { account: 'b', patience: 'returns' })) },
+    load: (replay) => { urgentFor(6_000)(replay); replay.every(60, 1_000, () => replay.send(LARGE, LARGE_TOKENS, { account: 'b', onRefusal: 'returns' })) },
     shares: { before: 0.25, after: 0.5, answered: 0.9 }
   },
   {
@@ -61,8 +61,8 @@
   {
     name: 'the return of all gateways, whose callers all come to the first',
     load: (replay) => {
-      for (let count = 0; count < 200; count++) replay.send(URGENT, 2 * SHORT_TOKENS, { patience: 'returns' })
-      for (let count = 0; count < 40; count++) replay.send(LARGE, LARGE_TOKENS, { account: 'b', patience: 'returns' })
+      for (let count = 0; count < 200; count++) replay.send(URGENT, 2 * SHORT_TOKENS, { onRefusal: 'returns' })
+      for (let count = 0; count < 40; count++) replay.send(LARGE, LARGE_TOKENS, { account: 'b', onRefusal: 'returns' })
       replay.every(60, 4_000, () => replay.send(URGENT, SHORT_TOKENS))
     },
     shares: { before: 0.3, after: 0.6, answered: 0.9 }
@@ -114,8 +114,8 @@
   it('gives callers that repeat at once no advantage over those that return when they are told', async () => {
     const replay = await play((replay) => {
       urgentFor(6_000)(replay)
-      replay.every(7, 6_000, () => replay.send(LARGE, LARGE_TOKENS, { account: 'repeats', patience: 'repeats' }))
-      replay.every(7, 6_000, () => replay.send(LARGE, LARGE_TOKENS, { account: 'returns', patience: 'returns' }))
+      replay.every(7, 6_000, () => replay.send(LARGE, LARGE_TOKENS, { account: 'repeats', onRefusal: 'repeats' }))
+      replay.every(7, 6_000, () => replay.send(LARGE, LARGE_TOKENS, { account: 'returns', onRefusal: 'returns' }))
     }, true)
     const attempts = (account: string): number => replay.outcomes.filter(isOf(account)).length
     chai.expect(attempts('repeats')).to.be.greaterThan(attempts('returns') * 1.2)
--- a/test/support/overload.ts
+++ b/test/support/overload.ts
@@ -33,7 +33,7 @@
 }
 
 /** What callers do after a refusal: give up, return once after the retry-after, or repeat at once, up to ten times. */
-export type Patience = 'none' | 'returns' | 'repeats'
+export type OnRefusal = 'none' | 'returns' | 'repeats'
 
 class TimedReply extends build.RecordedReply {
   constructor (private readonly clock: time.Clock, private readonly outcome: Outcome) { super() }
@@ -73,7 +73,7 @@
   }
 
   /** Sends a call through a gateway. */
-  send (route: serving.ServingRoute, tokens: number, { account = 'acc', gateway = 0, patience = 'none' as Patience, tries = 0, repeats = undefined as Outcome | undefined } = {}): Outcome {
+  send (route: serving.ServingRoute, tokens: number, { account = 'acc', gateway = 0, onRefusal = 'none' as OnRefusal, tries = 0, repeats = undefined as Outcome | undefined } = {}): Outcome {
     const outcome: Outcome = { route, account, sentAt: this.virtual.now(), firstEventMs: undefined, refusal: undefined, repeats }
     this.outcomes.push(outcome)
     const id = `c${this.outcomes.length}`
@@ -81,10 +81,10 @@
     const call = build.aCall({ id, route, service: SERVICE, account, priority: route.priority, arrivedAt: outcome.sentAt, deadlineAt: outcome.sentAt + 5_000, prompt })
     this.gateways[gateway]!.forwarder.forward(call, new TimedReply(this.virtual, outcome), new AbortController().signal).then((refusal) => {
       outcome.refusal = refusal
-      const maxTries = patience === 'none' ? 0 : patience === 'returns' ? 1 : 10
+      const maxTries = onRefusal === 'none' ? 0 : onRefusal === 'returns' ? 1 : 10
       if (refusal?.detail.ran !== 'no' || tries >= maxTries) return
-      const delayMs = patience === 'repeats' ? 5 : refusal.detail.retryAfterMs ?? 0
-      this.virtual.after(delayMs, () => this.send(route, tokens, { account, gateway, patience, tries: tries + 1, repeats: outcome }))
+      const delayMs = onRefusal === 'repeats' ? 5 : refusal.detail.retryAfterMs ?? 0
+      this.virtual.after(delayMs, () => this.send(route, tokens, { account, gateway, onRefusal, tries: tries + 1, repeats: outcome }))
     }, (err: unknown) => { throw err })
     return outcome
   }
