Placement: use how long work takes on a target at the moment, where targets report it

Other work on a VM slows its target by a factor of 2.5 for some 600 ms; the load header reports it in a fourth field that was not read. The factor divides the prefill speed, normalizes samples of it, and raises the cost and the expected time of plain targets. It decays towards normal with a half-life of 300 ms, as reports are rare. Considered: to learn it as part of the speed (lags by seconds). Without the field, or with a malformed one, nothing changes.

--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -90,6 +90,8 @@
   readonly waiting: number
   /** Requests that the target executes at once. */
   readonly slots: number
+  /** How long work takes there at the moment: 1 is normal, 2 means twice as long; absent when not reported. */
+  readonly workFactor?: number | undefined
 }
 
 /** The head of a target's response. */
--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -6,6 +6,7 @@
 import type * as peerLoad from './peer-load.js'
 import type * as prefillSpeed from './prefill-speed.js'
 import type * as stageSpeeds from './stage-speeds.js'
+import * as workFactor from './work-factor.js'
 
 /** Age up to which a load that the target reported counts, in ms. */
 const REPORTED_LOAD_LIFE_MS = 1_000
@@ -31,6 +32,8 @@
 export class TargetState {
   readonly failures = new failureRecord.FailureRecord()
   readonly cache = new cacheEstimate.CacheEstimate()
+  /** How long work takes at the target at the moment. */
+  readonly work = new workFactor.WorkFactor()
   /** Prompt tokens of this gateway's calls that the target has still to prefill. */
   pendingPrefillTokens = 0
   /** This gateway's calls in flight. */
@@ -99,6 +102,7 @@
   applyReportedLoad (load: calls.ReportedLoad, now: number): void {
     this.otherCalls = Math.max(0, load.running + load.waiting - this.running)
     this.reportedAt = now
+    if (load.workFactor !== undefined) this.work.note(load.workFactor, now)
   }
 
   /**
@@ -118,16 +122,16 @@
     return this.pendingPrefillTokens + this.known.peerLoad.pendingPrefillTokens(this.record.id)
   }
 
-  /** Prefill speed of the engine, in tokens per ms. */
+  /** Prefill speed of the engine at the moment, in tokens per ms. */
   prefillTokensPerMs (now: number): number {
-    return this.currentSpeed().tokensPerMs(now)
+    return this.currentSpeed().tokensPerMs(now) / this.work.at(now)
   }
 
-  /** Notes that the engine prefilled `tokens` in `ms`; its stage learns from it too. */
+  /** Notes that the engine prefilled `tokens` in `ms`; its stage learns from it too. The time is what it would have been at normal speed. */
   notePrefill (tokens: number, ms: number, now: number): void {
-    const speed = this.currentSpeed()
-    speed.note(tokens, ms, now)
-    this.known.speeds.of(this.record.service, this.stage).note(tokens, ms, now)
+    const normalMs = ms / this.work.at(now)
+    this.currentSpeed().note(tokens, normalMs, now)
+    this.known.speeds.of(this.record.service, this.stage).note(tokens, normalMs, now)
   }
 
   private get stage (): serving.Stage {
--- a/src/placement/plain-placer.ts
+++ b/src/placement/plain-placer.ts
@@ -17,7 +17,7 @@
 /** Cost of a target in another failure domain, in calls waiting per slot. */
 const OTHER_DOMAIN_COST_PER_SLOT = 0.15
 
-/** Sends each plain call to the target of lowest cost: load per slot, recent failures, other failure domain. */
+/** Sends each plain call to the target of lowest cost: load per slot, how long work takes there, recent failures, other failure domain. */
 export class PlainPlacer implements types.Placer {
   constructor (private readonly fleet: fleet.Fleet, private readonly env: time.Env, private readonly ownDomain: string, private readonly gatewayCount: () => number) {}
 
@@ -35,12 +35,14 @@
     }
     if (cheapest === undefined) return undefined
     const waitingPerSlot = Math.max(0, cheapest.load(now) + 1 - cheapest.record.slots) / cheapest.record.slots
-    return { target: cheapest, priority: call.priority, expectedMs: IDLE_CALL_MS * (1 + waitingPerSlot) }
+    return { target: cheapest, priority: call.priority, expectedMs: IDLE_CALL_MS * (1 + waitingPerSlot) * cheapest.work.at(now) }
   }
 
-  // In calls per slot; a random tenth of a call breaks ties.
+  // In calls per slot; a random tenth of a call breaks ties. Where work takes longer, the calls ahead and this one count more.
   private cost (state: fleet.TargetState, now: number): number {
-    const callsPerSlot = (state.load(now) + this.env.random.next() * 0.1) / state.record.slots
+    const { slots } = state.record
+    const load = state.load(now)
+    const callsPerSlot = (load + this.env.random.next() * 0.1 + (load + 1) * (state.work.at(now) - 1)) / slots
     const domainCost = state.record.domain === this.ownDomain ? 0 : OTHER_DOMAIN_COST_PER_SLOT
     return callsPerSlot + domainCost + FAILURE_COST_PER_SLOT * state.failures.failureRate(now)
   }
--- a/test/placement/placers.test.ts
+++ b/test/placement/placers.test.ts
@@ -155,6 +155,19 @@
     chai.expect(placer.place(call, new Set())).to.equal(undefined)
   })
 
+  it('avoids a target on which work takes longer at the moment, until the report is old', async () => {
+    const virtual = new time.VirtualTime()
+    const fleet = build.aFleet(virtual, [build.aTarget('a'), build.aTarget('b')])
+    const placer = new placement.PlainPlacer(fleet, virtual.env(1), 'd1', () => 4)
+    const [a, b] = fleet.ofService('s')
+    a!.applyReportedLoad({ running: 1, waiting: 0, slots: 4, workFactor: 2.5 }, 0)
+    b!.running = 1
+    const chosen = Array.from({ length: 20 }, () => placer.place(build.aCall(), new Set())!)
+    chai.expect(chosen.every(({ target }) => target === b)).to.equal(true)
+    await virtual.advance(3_000)
+    chai.expect(placer.place(build.aCall(), new Set())!.target).to.equal(a)
+  })
+
   it('prefers the idle target, but avoids one that looks idle because it fails part of its calls', () => {
     const virtual = new time.VirtualTime()
     const fleet = build.aFleet(virtual, [build.aTarget('a'), build.aTarget('b')])
