Fleet: share measured prefill speeds and slowdowns between gateways; learn the cost of context

A gateway of 86 sees an engine about once in 20 s, so speeds that differ by 2.7 were unknown to it; and the time of a token was constant, so a prompt of 50,000 tokens was underestimated. Engines' sums of tokens, tokens times context and ms (topic speeds) and those of a stage (stage_speeds) are exchanged once a second, work factors that deviate by 0.15 at each exchange (slowdowns). Time of a prefill = tokens times (constant + slope times context) times the engine's slowness. Samples that waited behind more than a quarter of their tokens are kept out. Ruled out: exchange of means, which cannot be merged.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,11 +1,13 @@
 /** The known targets. */
+import type * as exchange from '../exchange/index.js'
 import type * as log from '../log/index.js'
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
 import * as cacheUpdates from './cache-updates.js'
+import * as engineSpeeds from './engine-speeds.js'
 import * as peerLoad from './peer-load.js'
 import * as removedTargets from './removed-targets.js'
-import * as stageSpeeds from './stage-speeds.js'
+import * as slowdowns from './slowdowns.js'
 import * as targetState from './target-state.js'
 
 /** Dependencies of a {@link Fleet}. */
@@ -22,14 +24,23 @@
   private readonly removed = new removedTargets.RemovedTargets()
   /** Load that other gateways report. */
   readonly peerLoad: peerLoad.PeerLoad
-  /** Prefill speeds of the engines, by service and stage. */
-  readonly speeds = new stageSpeeds.StageSpeeds()
+  /** Prefill speeds of the engines. */
+  readonly speeds: engineSpeeds.EngineSpeeds
+  /** Targets on which work takes longer or shorter at the moment. */
+  readonly slowdowns: slowdowns.Slowdowns
   /** Cache changes that this gateway got from engines, and those that the other gateways tell. */
   readonly cacheUpdates = new cacheUpdates.CacheUpdates((rows) => this.applyCacheRows(rows))
   private byService = new Map<string, targetState.TargetState[]>()
 
   constructor (private readonly deps: FleetDeps) {
     this.peerLoad = new peerLoad.PeerLoad({ clock: deps.clock, ownRows: () => this.loadRows() })
+    this.speeds = new engineSpeeds.EngineSpeeds(deps.clock)
+    this.slowdowns = new slowdowns.Slowdowns({ clock: deps.clock, apply: (target, factor, at) => this.targets.get(target)?.work.note(factor, at) })
+  }
+
+  /** What gateways tell each other about targets. */
+  get topics (): exchange.Topic[] {
+    return [this.peerLoad, this.cacheUpdates, this.slowdowns, ...this.speeds.topics]
   }
 
   /** Targets of a service, leaving ones included. */
--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -4,8 +4,9 @@
 import * as cacheEstimate from './cache-estimate.js'
 import * as failureRecord from './failure-record.js'
 import type * as peerLoad from './peer-load.js'
-import type * as prefillSpeed from './prefill-speed.js'
-import type * as stageSpeeds from './stage-speeds.js'
+import type * as engineSpeeds from './engine-speeds.js'
+import * as prefillTime from './prefill-time.js'
+import type * as slowdowns from './slowdowns.js'
 import * as workFactor from './work-factor.js'
 
 /** Age up to which a load that the target reported counts, in ms. */
@@ -18,7 +19,23 @@
 export interface FleetKnowledge {
   /** Load that other gateways report. */
   readonly peerLoad: peerLoad.PeerLoad
-  readonly speeds: stageSpeeds.StageSpeeds
+  readonly speeds: engineSpeeds.EngineSpeeds
+  readonly slowdowns: slowdowns.Slowdowns
+}
+
+/** Time for which the calculated time of a token is reused, in ms. */
+const TOKEN_TIME_REUSE_MS = 200
+
+const TOKENS_PER_KILOTOKEN = 1_000
+
+/** A prefill of this gateway whose time was measured. */
+export interface MeasuredPrefill {
+  /** Tokens that were prefilled, and tokens of the complete prompt. */
+  readonly tokens: number
+  readonly promptTokens: number
+  /** Prompt tokens of other calls before them. */
+  readonly tokensAhead: number
+  readonly ms: number
 }
 
 /** Since when a target has been missing from the list, and until when it is used nevertheless; ms, monotonic. `era`: that of the list. */
@@ -52,8 +69,10 @@
   /** Calls of other gateways, by the target's last report. */
   private otherCalls = 0
   private reportedAt = -Infinity
-  /** Speed of the engine in its present stage; undefined before the first use, and for plain services. */
-  private speed: { readonly stage: serving.Stage, readonly record: prefillSpeed.PrefillSpeed } | undefined
+  /** Time of a token at normal speed of the VM, as of `tokenTimeAt`. */
+  private tokenTime: prefillTime.PrefillTime | undefined
+  private tokenTimeAt = -Infinity
+  private tokenTimeStage: serving.Stage | undefined
 
   constructor (public record: serving.TargetRecord, private readonly known: FleetKnowledge) {}
 
@@ -102,7 +121,9 @@
   applyReportedLoad (load: calls.ReportedLoad, now: number): void {
     this.otherCalls = Math.max(0, load.running + load.waiting - this.running)
     this.reportedAt = now
-    if (load.workFactor !== undefined) this.work.note(load.workFactor, now)
+    if (load.workFactor === undefined) return
+    this.work.note(load.workFactor, now)
+    this.known.slowdowns.note(this.record.id, load.workFactor, now)
   }
 
   /**
@@ -122,26 +143,30 @@
     return this.pendingPrefillTokens + this.known.peerLoad.pendingPrefillTokens(this.record.id)
   }
 
-  /** Prefill speed of the engine at the moment, in tokens per ms. */
+  /** Prefill speed of the engine at the moment for a mean context, in tokens per ms. */
   prefillTokensPerMs (now: number): number {
-    return this.currentSpeed().tokensPerMs(now) / this.work.at(now)
+    const { constantMs, slopeMs, meanContext } = this.currentTokenTime(now)
+    return TOKENS_PER_KILOTOKEN / ((constantMs + slopeMs * meanContext) * this.work.at(now))
   }
 
-  /** Notes that the engine prefilled `tokens` in `ms`; its stage learns from it too. The time is what it would have been at normal speed. */
-  notePrefill (tokens: number, ms: number, now: number): void {
-    const normalMs = ms / this.work.at(now)
-    this.currentSpeed().note(tokens, normalMs, now)
-    this.known.speeds.of(this.record.service, this.stage).note(tokens, normalMs, now)
+  /** Expected time to prefill the last `tokens` of a prompt at the moment, in ms. */
+  prefillMs (tokens: number, promptTokens: number, now: number): number {
+    return prefillTime.prefillMs(this.currentTokenTime(now), tokens, prefillTime.meanContext(tokens, promptTokens)) * this.work.at(now)
   }
 
-  private get stage (): serving.Stage {
-    return this.record.stage ?? 'decode'
+  /** Notes a prefill. The time that the prompts ahead of it took, and slow work at the moment, are taken out. */
+  notePrefill ({ tokens, promptTokens, tokensAhead, ms }: MeasuredPrefill, now: number): void {
+    const ownMs = Math.max(ms / 2, ms - tokensAhead / this.prefillTokensPerMs(now))
+    this.known.speeds.note(this.record, { tokens, context: prefillTime.meanContext(tokens, promptTokens), ms: ownMs / this.work.at(now) })
+    this.tokenTimeAt = -Infinity
   }
 
-  private currentSpeed (): prefillSpeed.PrefillSpeed {
-    const { stage } = this
-    if (this.speed?.stage !== stage) this.speed = { stage, record: this.known.speeds.createEngineSpeed(this.record.service, stage) }
-    return this.speed.record
+  private currentTokenTime (now: number): prefillTime.PrefillTime {
+    if (this.tokenTime !== undefined && now - this.tokenTimeAt < TOKEN_TIME_REUSE_MS && this.tokenTimeStage === this.record.stage) return this.tokenTime
+    this.tokenTime = this.known.speeds.of(this.record)
+    this.tokenTimeAt = now
+    this.tokenTimeStage = this.record.stage
+    return this.tokenTime
   }
 
   /** Load row for the other gateways; undefined while this gateway has no call at the target. */
--- a/src/forward/attempt-recorder.ts
+++ b/src/forward/attempt-recorder.ts
@@ -13,6 +13,9 @@
 /** Shortest prefill that counts as a sample of an engine's speed, in tokens. */
 const MIN_SPEED_SAMPLE_TOKENS = 1_000
 
+/** Tokens ahead of a prefill with which it still counts as a sample, as a share of its own. */
+const MAX_SAMPLE_AHEAD_SHARE = 0.25
+
 /** Part of the time of a prefill that does not depend on the prompt, in ms. */
 const PREFILL_OVERHEAD_MS = 12
 
@@ -151,10 +154,11 @@
     else if (result.kind === 'failed' && result.cause === 'disconnected') this.deps.quarantine.noteLost({ prompt, target: state.record, sentAt, firstEventAt })
   }
 
-  // Only prompts that are long enough, and that did not wait for long behind others, show how fast an engine is.
+  // Only prompts that are long enough, and that did not wait behind many others, show how fast an engine is.
   private recordPrefill ({ state, prefillTokens, tokensAhead }: SentAttempt, ms: number | undefined): void {
-    if (ms === undefined || prefillTokens < MIN_SPEED_SAMPLE_TOKENS || tokensAhead > prefillTokens) return
-    state.notePrefill(prefillTokens + tokensAhead, Math.max(1, ms - PREFILL_OVERHEAD_MS), this.deps.env.clock.now())
+    if (ms === undefined || prefillTokens < MIN_SPEED_SAMPLE_TOKENS || tokensAhead > prefillTokens * MAX_SAMPLE_AHEAD_SHARE) return
+    const promptTokens = this.call.prompt?.promptTokens ?? prefillTokens
+    state.notePrefill({ tokens: prefillTokens, promptTokens, tokensAhead, ms: Math.max(1, ms - PREFILL_OVERHEAD_MS) }, this.deps.env.clock.now())
   }
 }
 
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -109,7 +109,7 @@
     this.usageLedger = new duties.UsageLedger({ env, store, eras: deps.eras, name: `${settings.name}.${settings.incarnation}`, windowMs, isRelay, log })
     this.quarantine = new quarantine.SegmentQuarantine({ clock: env.clock, selfName: settings.name, gateways: () => this.directory.gatewayNames(), log })
     this.quarantineRecords = new quarantine.QuarantineRecords({ env, store, eras: deps.eras, quarantine: this.quarantine, log })
-    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine]
+    const topics = [this.roster, this.feed, this.fleetFeed, ...this.fleet.topics, this.usageLedger, this.quarantine]
     this.exchange = new exchange.Exchange({ env, elapsed: this.elapsed, peers: this.peers, self, roster: this.roster, topics, ready: () => this.ready, log })
     this.directory = new directory.Directory({ env, store, eras: deps.eras, self, roster: this.roster, isRelay, ready: () => this.ready, log })
     this.cacheFeed = this.createCacheFeed()
--- a/src/placement/engine-placer.ts
+++ b/src/placement/engine-placer.ts
@@ -171,7 +171,7 @@
     const tokensPerMs = state.prefillTokensPerMs(now)
     const work = this.prefillWork(state, tokensPerMs, context)
     const backlogMs = state.prefillTokensAhead() / tokensPerMs
-    const prefillMs = work.prefillTokens / tokensPerMs
+    const prefillMs = state.prefillMs(work.prefillTokens, call.prompt?.promptTokens ?? 0, now)
     const handover = prefillOnly ? this.cheapestHandover(state, context) : undefined
     if (prefillOnly && handover === undefined) return undefined
     const target = handover?.mixed.state ?? state
--- a/test/fleet/work-factor.test.ts
+++ b/test/fleet/work-factor.test.ts
@@ -28,7 +28,7 @@
     const normal = state!.prefillTokensPerMs(0)
     state!.applyReportedLoad({ running: 0, waiting: 0, slots: 4, workFactor: 2 }, 0)
     chai.expect(state!.prefillTokensPerMs(0)).to.be.closeTo(normal / 2, 0.1)
-    for (let sample = 0; sample < 40; sample++) state!.notePrefill(4_000, 4_000 / normal * 2, 0)
+    for (let sample = 0; sample < 40; sample++) state!.notePrefill({ tokens: 4_000, promptTokens: 4_000, tokensAhead: 0, ms: 4_000 / normal * 2 }, 0)
     chai.expect(state!.prefillTokensPerMs(0)).to.be.closeTo(normal / 2, 0.1)
   })
 })
