Placement: leave out engines whose KV cache has no room for a further call

Calls in flight hold their own tokens, their output, and a shared segment once for each gateway; the sum of all gateways travels as a fourth field of the rows of topic load. An engine on which a call does not fit is no candidate while a mixed one has room. Considered: to estimate it from the number of calls (prompts differ by a factor of 50).

--- a/src/fleet/peer-load.ts
+++ b/src/fleet/peer-load.ts
@@ -9,8 +9,8 @@
 /** Time for which calculated totals are reused, in ms: a relay replies to many members. */
 const TOTALS_REUSE_MS = 20
 
-/** Load on one target: the target's id, calls in flight, and prompt tokens still to be prefilled. */
-export const LoadRow = z.tuple([z.string(), z.int(), z.int()])
+/** Load on one target: the target's id, calls in flight, prompt tokens still to be prefilled, and tokens that the calls hold; 0 is left out. */
+export const LoadRow = z.tuple([z.string(), z.int(), z.int(), z.int().optional()])
 export type LoadRow = z.infer<typeof LoadRow>
 
 /** `complete`: targets that are not listed have no load; otherwise their load is unchanged. */
@@ -19,9 +19,10 @@
 interface Load {
   readonly running: number
   readonly prefillTokens: number
+  readonly heldTokens: number
 }
 
-const NO_LOAD: Load = { running: 0, prefillTokens: 0 }
+const NO_LOAD: Load = { running: 0, prefillTokens: 0, heldTokens: 0 }
 
 /** A total, and the position at which it last changed. */
 interface Total extends Load {
@@ -68,6 +69,11 @@
     return this.loadOf(target).prefillTokens
   }
 
+  /** Tokens of KV cache that other gateways' calls hold at a target. */
+  heldTokens (target: string): number {
+    return this.loadOf(target).heldTokens
+  }
+
   changesSince (link: exchange.Link, position: number | undefined): exchange.Changes | undefined {
     if (link.kind === 'member') return this.totalsSince(position)
     const own = this.deps.ownRows()
@@ -85,9 +91,10 @@
       return true
     }
     if (complete) this.relayTotals.clear()
-    for (const [target, running, prefillTokens] of rows) {
-      if (running === 0 && prefillTokens === 0) this.relayTotals.delete(target)
-      else this.relayTotals.set(target, { running, prefillTokens })
+    for (const row of rows) {
+      const load = toLoad(row)
+      if (isNone(load)) this.relayTotals.delete(row[0])
+      else this.relayTotals.set(row[0], load)
     }
     this.confirmedOwn = this.sentOwn
     this.relayToldAt = this.deps.clock.now()
@@ -109,7 +116,11 @@
     if (!this.hasRelay) return this.sums.get(target) ?? NO_LOAD
     const total = this.relayTotals.get(target) ?? NO_LOAD
     const own = this.confirmedOwn.get(target) ?? NO_LOAD
-    return { running: Math.max(0, total.running - own.running), prefillTokens: Math.max(0, total.prefillTokens - own.prefillTokens) }
+    return {
+      running: Math.max(0, total.running - own.running),
+      prefillTokens: Math.max(0, total.prefillTokens - own.prefillTokens),
+      heldTokens: Math.max(0, total.heldTokens - own.heldTokens)
+    }
   }
 
   private sumUp (): void {
@@ -120,7 +131,7 @@
     this.refreshTotals()
     const rows: LoadRow[] = []
     for (const [target, total] of this.totals) {
-      if (total.position > (position ?? 0)) rows.push([target, total.running, total.prefillTokens])
+      if (total.position > (position ?? 0)) rows.push(toRow(target, total))
     }
     return { next: this.position, payload: { complete: position === undefined, rows } }
   }
@@ -133,10 +144,10 @@
     this.position++
     for (const [target, load] of current) {
       const known = this.totals.get(target)
-      if (known?.running !== load.running || known.prefillTokens !== load.prefillTokens) this.totals.set(target, { ...load, position: this.position })
+      if (known?.running !== load.running || known.prefillTokens !== load.prefillTokens || known.heldTokens !== load.heldTokens) this.totals.set(target, { ...load, position: this.position })
     }
     for (const [target, total] of this.totals) {
-      if (!current.has(target) && (total.running !== 0 || total.prefillTokens !== 0)) this.totals.set(target, { ...NO_LOAD, position: this.position })
+      if (!current.has(target) && !isNone(total)) this.totals.set(target, { ...NO_LOAD, position: this.position })
     }
   }
 }
@@ -144,18 +155,31 @@
 function addUp (lists: ReadonlyArray<readonly LoadRow[]>): Map<string, Load> {
   const sums = new Map<string, Load>()
   for (const rows of lists) {
-    for (const [target, running, prefillTokens] of rows) {
-      const sum = sums.get(target) ?? NO_LOAD
-      sums.set(target, { running: sum.running + running, prefillTokens: sum.prefillTokens + prefillTokens })
+    for (const row of rows) {
+      const load = toLoad(row)
+      const sum = sums.get(row[0]) ?? NO_LOAD
+      sums.set(row[0], { running: sum.running + load.running, prefillTokens: sum.prefillTokens + load.prefillTokens, heldTokens: sum.heldTokens + load.heldTokens })
     }
   }
   return sums
 }
 
 function toLoads (rows: readonly LoadRow[]): Map<string, Load> {
-  return new Map(rows.map(([target, running, prefillTokens]) => [target, { running, prefillTokens }]))
+  return new Map(rows.map((row) => [row[0], toLoad(row)]))
 }
 
 function toRows (loads: ReadonlyMap<string, Load>): LoadRow[] {
-  return [...loads].map(([target, load]) => [target, load.running, load.prefillTokens])
+  return [...loads].map(([target, load]) => toRow(target, load))
+}
+
+function toLoad ([, running, prefillTokens, heldTokens = 0]: LoadRow): Load {
+  return { running, prefillTokens, heldTokens }
+}
+
+function toRow (target: string, { running, prefillTokens, heldTokens }: Load): LoadRow {
+  return heldTokens === 0 ? [target, running, prefillTokens] : [target, running, prefillTokens, heldTokens]
+}
+
+function isNone ({ running, prefillTokens, heldTokens }: Load): boolean {
+  return running === 0 && prefillTokens === 0 && heldTokens === 0
 }
--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -2,9 +2,10 @@
 import type * as calls from '../call/index.js'
 import type * as serving from '../serving/index.js'
 import * as cacheEstimate from './cache-estimate.js'
+import type * as engineSpeeds from './engine-speeds.js'
 import * as failureRecord from './failure-record.js'
+import * as heldTokens from './held-tokens.js'
 import type * as peerLoad from './peer-load.js'
-import type * as engineSpeeds from './engine-speeds.js'
 import * as prefillTime from './prefill-time.js'
 import type * as slowdowns from './slowdowns.js'
 import * as workFactor from './work-factor.js'
@@ -49,6 +50,8 @@
 export class TargetState {
   readonly failures = new failureRecord.FailureRecord()
   readonly cache = new cacheEstimate.CacheEstimate()
+  /** KV cache that this gateway's calls hold. */
+  readonly held = new heldTokens.HeldTokens()
   /** How long work takes at the target at the moment. */
   readonly work = new workFactor.WorkFactor()
   /** Prompt tokens of this gateway's calls that the target has still to prefill. */
@@ -143,6 +146,11 @@
     return this.pendingPrefillTokens + this.known.peerLoad.pendingPrefillTokens(this.record.id)
   }
 
+  /** Tokens of KV cache that calls of all gateways hold. */
+  heldTokens (): number {
+    return this.held.total + this.known.peerLoad.heldTokens(this.record.id)
+  }
+
   /** Prefill speed of the engine at the moment for a mean context, in tokens per ms. */
   prefillTokensPerMs (now: number): number {
     const { constantMs, slopeMs, meanContext } = this.currentTokenTime(now)
@@ -172,6 +180,8 @@
   /** Load row for the other gateways; undefined while this gateway has no call at the target. */
   toRow (): peerLoad.LoadRow | undefined {
     if (this.running === 0) return undefined
-    return [this.record.id, this.running, Math.round(this.pendingPrefillTokens)]
+    const row: peerLoad.LoadRow = [this.record.id, this.running, Math.round(this.pendingPrefillTokens)]
+    if (this.held.total > 0) row[3] = Math.round(this.held.total)
+    return row
   }
 }
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -110,6 +110,7 @@
   async run (): Promise<AttemptResult> {
     const { call, plan, state, usedConnections } = this.spec
     state.running++
+    if (call.prompt !== undefined) state.held.hold(call.prompt)
     state.pendingPrefillTokens += this.prefillTokens
     if (call.prompt !== undefined && plan.kvSource === undefined) state.cache.addPending(call.prompt)
     try {
@@ -127,6 +128,7 @@
       this.splitter[Symbol.dispose]()
       this.endPrefill()
       state.running--
+      if (call.prompt !== undefined) state.held.release(call.prompt)
     }
   }
 
--- a/src/placement/engine-placer.ts
+++ b/src/placement/engine-placer.ts
@@ -14,6 +14,7 @@
 import * as affinity from './affinity.js'
 import * as share from './connection-share.js'
 import * as kvTransfer from './kv-transfer.js'
+import * as room from './room.js'
 import * as segmentSource from './segment-source.js'
 import type * as types from './types.js'
 
@@ -127,7 +128,7 @@
     const maxRunning = share.connectionShare(call.service, this.gatewayCount())
     const allTargets = this.fleet.ofService(call.service.name)
     const usableTargets = allTargets.filter((state) => !tried.has(state.record.id) && state.acceptsCalls(now) && state.running < maxRunning)
-    const byAffinity = affinity.rankByAffinity(affinity.affinityKey(call), usableTargets, AFFINITY_WEIGHTS)
+    const byAffinity = affinity.rankByAffinity(affinity.affinityKey(call), room.withRoom(call, usableTargets), AFFINITY_WEIGHTS)
     const sources = new segmentSource.SegmentSources(call.prompt, allTargets, now)
     const chosen = this.cheapestCandidate(call, byAffinity, sources, now)
     if (chosen === undefined) return undefined
--- a/test/placement/placers.test.ts
+++ b/test/placement/placers.test.ts
@@ -122,6 +122,21 @@
     chai.expect(priorities).to.deep.equal([6, 1])
   })
 
+  it('sends a call where its KV cache fits beside that of the calls in flight, of all gateways; anywhere when it fits nowhere', () => {
+    const { fleet, placer, state } = setUp()
+    const chosenIds = (): string[] => Array.from({ length: 8 }, () => placer.place(aModelCall('s', 'own'), new Set())!).flatMap(({ target, prefillTarget }) => [target, ...prefillTarget === undefined ? [] : [prefillTarget]]).map(({ record }) => record.id)
+    const large = { promptTokens: 995_000, outputTokens: 50, segments: [{ id: 'x', tokens: 995_000 }] }
+    state('p1').held.hold(large)
+    state('e2').held.hold(large)
+    fleet.peerLoad.apply({ gateway: 'g2', incarnation: '1', kind: 'fellow' }, { complete: true, rows: [['p2', 1, 0, 990_000]] })
+    chai.expect(new Set(chosenIds())).to.deep.equal(new Set(['e1']))
+    state('e1').held.hold(large)
+    chai.expect(chosenIds()).to.include('p1')
+    for (const id of ['p1', 'e1', 'e2']) state(id).held.release(large)
+    chai.expect(chosenIds()).not.to.include('p2')
+    chai.expect(state('e1').heldTokens()).to.equal(0)
+  })
+
   it('finds the only idle engine of a large fleet, whatever the affinity target, before it defers a call', () => {
     const virtual = new time.VirtualTime()
     const fleet = build.aFleet(virtual, Array.from({ length: 60 }, (_, index) => build.aTarget(`e${index}`, { stage: 'decode' })))
