--- a/src/hash/hash.ts
+++ b/src/hash/hash.ts
@@ -3,9 +3,9 @@
 
 const xxhash = await createXxhash()
 
-/** 32-bit hash of a text. */
-export function hash32 (text: string): number {
-  return xxhash.h32(text)
+/** 32-bit hash of a text; another seed gives an independent hash. */
+export function hash32 (text: string, seed = 0): number {
+  return xxhash.h32(text, seed)
 }
 
 /** 64-bit hash of a text as 16 hex digits. */
--- a/src/placement/affinity.ts
+++ b/src/placement/affinity.ts
@@ -17,14 +17,15 @@
  * prefill-only engine is the affinity target of more segments than a mixed one.
  */
 export function rankByAffinity (key: string, states: readonly fleet.TargetState[], weights: Readonly<Record<'prefill' | 'decode', number>>): fleet.TargetState[] {
+  const keyHash = hash.hash32(key)
   return states
-    .map((state) => ({ state, score: affinityScore(key, state.record.id, weights[state.record.stage ?? 'decode']) }))
+    .map((state) => ({ state, score: affinityScore(keyHash, state.record.id, weights[state.record.stage ?? 'decode']) }))
     .sort((a, b) => b.score - a.score)
     .map((entry) => entry.state)
 }
 
 // Maps the hash to a number below 1, so that its logarithm is never 0.
-function affinityScore (key: string, id: string, weight: number): number {
-  const uniform = (hash.hash32(`${key}\u0000${id}`) + 1) / 2 ** 32
+function affinityScore (keyHash: number, id: string, weight: number): number {
+  const uniform = (hash.hash32(id, keyHash) + 1) / 2 ** 32
   return -weight / Math.log(Math.min(uniform, 1 - 2 ** -33))
 }
