Placement: weigh cached prefixes against waiting; let gateways prefer different engines

Ruled out by trials: a random cost for each call, a cap on the preference, reported backlog shrunk towards the mean. The choice between holder, fetch and prefill is a module of its own: it counts what is cached by the probability that it is still there (rate of eviction, age), the segments that a copy displaces on a full cache, and the need for copies of a hot segment. Metrics count the ways.

--- a/src/fleet/cache-estimate.ts
+++ b/src/fleet/cache-estimate.ts
@@ -1,5 +1,6 @@
 /** Estimate of the prompt segments that a target has in its KV cache. */
 import type * as calls from '../call/index.js'
+import * as decayingSums from './decaying-sums.js'
 
 /** Tokens that may be missing at the end of a segment that counts as completely cached: engines cache by blocks. */
 const BLOCK_TOKENS = 32
@@ -7,9 +8,26 @@
 /** Segments tracked for one target; beyond this, the least recently updated is dropped. */
 const MAX_SEGMENTS = 20_000
 
+/** Time after which an eviction counts half in the rate, in ms. */
+const EVICTION_HALF_LIFE_MS = 5_000
+
+/** Age factor of a segment that was just cached: engines evict what was used least recently, so it is safest. */
+const MIN_AGE_FACTOR = 0.1
+const MAX_AGE_FACTOR = 2
+
+interface CachedSegment {
+  readonly tokens: number
+  /** Tokens that had been cached by the engine when this segment was last confirmed. */
+  readonly confirmedAt: number
+}
+
 /** Cached tokens of each segment, as the target reported them or as this gateway's calls suggest. */
 export class CacheEstimate {
-  private readonly segments = new Map<string, number>()
+  private readonly segments = new Map<string, CachedSegment>()
+  /** Tokens of all segments, and tokens of all segments that were ever added. */
+  private tokens = 0
+  private addedTokens = 0
+  private readonly evicted = new decayingSums.DecayingSums(1, EVICTION_HALF_LIFE_MS)
   /** Calls of this gateway in progress whose prompt has the segment and is being prefilled by the target. */
   private readonly pending = new Map<string, number>()
 
@@ -18,15 +36,39 @@
     for (const segment of prompt.segments) this.set(segment.id, segment.tokens)
   }
 
-  /** Applies the target's own report of a segment; 0 tokens mean that it is not cached. */
-  applyReport (id: string, tokens: number): void {
-    if (tokens <= 0) this.segments.delete(id)
-    else this.set(id, tokens)
+  /** Applies the target's own report of a segment; 0 tokens mean that it is not cached. Without `now` (ms, monotonic) the rate of eviction stays. */
+  applyReport (id: string, tokens: number, now?: number): void {
+    if (tokens > 0) {
+      this.set(id, tokens)
+      return
+    }
+    if (now !== undefined) this.evicted.add([this.tokensOf(id)], now)
+    this.drop(id)
+  }
+
+  /** Tokens of all segments that are estimated to be cached. */
+  get totalTokens (): number {
+    return this.tokens
+  }
+
+  /** Probability that the cached beginning of a prompt is still cached after `ms`, by the rate of eviction and its age. */
+  stayProbability (prompt: calls.Prompt, ms: number, now: number): number {
+    const evicted = [0]
+    this.evicted.addTo(evicted, now)
+    const lostShare = evicted[0]! * Math.LN2 / EVICTION_HALF_LIFE_MS * ms / Math.max(1, this.tokens)
+    if (lostShare === 0) return 1
+    let ageFactor = MIN_AGE_FACTOR
+    for (const { id } of prompt.segments) {
+      const segment = this.segments.get(id)
+      if (segment === undefined) break
+      ageFactor = Math.max(ageFactor, Math.min(MAX_AGE_FACTOR, 2 * (this.addedTokens - segment.confirmedAt) / Math.max(1, this.tokens)))
+    }
+    return Math.exp(-lostShare * ageFactor)
   }
 
   /** Tokens of a segment that are estimated to be cached. */
   tokensOf (id: string): number {
-    return this.segments.get(id) ?? 0
+    return this.segments.get(id)?.tokens ?? 0
   }
 
   /** Notes that the target has begun to prefill a prompt. */
@@ -45,7 +87,7 @@
 
   /** Tokens at the start of a prompt that are estimated to be cached. */
   cachedTokens (prompt: calls.Prompt): number {
-    return countLeading(prompt, (segment) => this.segments.get(segment.id))
+    return countLeading(prompt, (segment) => this.segments.get(segment.id)?.tokens)
   }
 
   /**
@@ -53,18 +95,27 @@
    * prompts ahead of it that are being prefilled.
    */
   tokensCachedOnArrival (prompt: calls.Prompt): number {
-    return countLeading(prompt, (segment) => this.pending.has(segment.id) ? segment.tokens : this.segments.get(segment.id))
+    return countLeading(prompt, (segment) => this.pending.has(segment.id) ? segment.tokens : this.segments.get(segment.id)?.tokens)
   }
 
   /** Empties the estimate: a target that restarts has an empty cache. */
   clear (): void {
     this.segments.clear()
+    this.tokens = 0
   }
 
   private set (id: string, tokens: number): void {
+    const known = this.tokensOf(id)
+    this.segments.delete(id)
+    this.tokens += tokens - known
+    this.addedTokens += Math.max(0, tokens - known)
+    this.segments.set(id, { tokens, confirmedAt: this.addedTokens })
+    if (this.segments.size > MAX_SEGMENTS) this.drop(this.segments.keys().next().value!)
+  }
+
+  private drop (id: string): void {
+    this.tokens -= this.tokensOf(id)
     this.segments.delete(id)
-    this.segments.set(id, tokens)
-    if (this.segments.size > MAX_SEGMENTS) this.segments.delete(this.segments.keys().next().value!)
   }
 }
 
--- a/src/fleet/cache-feed.ts
+++ b/src/fleet/cache-feed.ts
@@ -137,7 +137,8 @@
     const restarted = position.epoch !== undefined && batch.epoch !== position.epoch
     if (restarted) state.cache.clear()
     const told = batch.changes.filter((change) => Math.max(change.tokens, state.cache.tokensOf(change.id)) >= MIN_TOLD_TOKENS)
-    for (const change of batch.changes) state.cache.applyReport(change.id, change.tokens)
+    const now = this.deps.env.clock.now()
+    for (const change of batch.changes) state.cache.applyReport(change.id, change.tokens, now)
     // The response to the first poll is not told to others: what the engine has recorded so far is not new to other gateways.
     if (position.epoch !== undefined && this.deps.gateways().length > ALL_FOLLOW_LIMIT) {
       if (restarted) this.deps.fleet.cacheUpdates.addRestart(state.record.id)
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -65,11 +65,12 @@
 
   // Targets that this gateway follows itself are skipped.
   private applyCacheRows (rows: readonly cacheUpdates.CacheRow[]): void {
+    const now = this.deps.clock.now()
     for (const row of rows) {
       const state = this.targets.get(row.target)
       if (state === undefined || state.followed) continue
       if (row.restarted) state.cache.clear()
-      for (const [id, tokens] of row.changes) state.cache.applyReport(id, tokens)
+      for (const [id, tokens] of row.changes) state.cache.applyReport(id, tokens, now)
     }
   }
 
--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -143,7 +143,12 @@
    * engine prefills the prompts that it has admitted in the order of their arrival.
    */
   prefillTokensAhead (): number {
-    return this.pendingPrefillTokens + this.known.peerLoad.pendingPrefillTokens(this.record.id)
+    return this.pendingPrefillTokens + this.peerPrefillTokens()
+  }
+
+  /** Prompt tokens of other gateways' calls that the target has still to prefill. */
+  peerPrefillTokens (): number {
+    return this.known.peerLoad.pendingPrefillTokens(this.record.id)
   }
 
   /** Tokens of KV cache that calls of all gateways hold. */
--- a/src/forward/attempt-recorder.ts
+++ b/src/forward/attempt-recorder.ts
@@ -8,6 +8,7 @@
 import type * as time from '../time/index.js'
 import type * as attempt from './attempt.js'
 import type * as attemptRace from './attempt-race.js'
+import * as prefixMetrics from './prefix-metrics.js'
 import type * as streamProgress from './stream-progress.js'
 
 /** Shortest prefill that counts as a sample of an engine's speed, in tokens. */
@@ -105,6 +106,7 @@
   private countPlacement ({ run: { choice }, options, listAgeMs, missingMs }: SentAttempt): void {
     const { metrics } = this.deps
     metrics.count('godwitpoint_placements_total', `phase="${phaseOf(options)}",in_time="${choice.priority < fleet.FIRST_DEFERRED_PRIORITY}"`)
+    if (options.kvSource === undefined && choice.prefix !== undefined) prefixMetrics.countPrefixChoice(metrics, choice.prefix)
     metrics.recordDuration('godwitpoint_target_list_age', listAgeMs)
     if (missingMs !== undefined) metrics.count('godwitpoint_sends_to_missing_targets_total')
   }
--- a/src/placement/engine-placer.ts
+++ b/src/placement/engine-placer.ts
@@ -13,8 +13,11 @@
 import type * as time from '../time/index.js'
 import * as affinity from './affinity.js'
 import * as share from './connection-share.js'
+import * as enginePreference from './engine-preference.js'
 import * as kvTransfer from './kv-transfer.js'
+import * as prefixChoice from './prefix-choice.js'
 import * as room from './room.js'
+import * as segmentDemand from './segment-demand.js'
 import * as segmentSource from './segment-source.js'
 import type * as types from './types.js'
 
@@ -60,9 +63,6 @@
 /** Cost of a gap above the objective in one running stream, in ms. */
 const LATE_STREAM_COST_MS = 250
 
-/** Share of the shared segments assumed to be cached at the affinity target while they are known to be cached nowhere. */
-const AFFINITY_CACHED_SHARE = 0.3
-
 /** Weights of the stages in the affinity: a prefill-only engine prefills about this many times as fast as a mixed one. */
 const AFFINITY_WEIGHTS = { prefill: 3, decode: 1 }
 
@@ -78,30 +78,25 @@
 /** Time for which a prefill-only engine gets no prompts after a KV transfer from it failed, in ms. */
 const KV_TRANSFER_PAUSE_MS = 1_500
 
+/** A call without token counts. */
+const NO_PREFIX: types.PrefixChoice = { way: 'none', prefillTokens: 0, prefillMs: 0, fetchFrom: undefined, fetchMs: 0, fetchedTokens: 0, againTokens: 0, displacementMs: 0, copiesAhead: false }
+
 /** A possible placement; the one of lowest cost is chosen. */
 interface Candidate extends types.Placement {
   /** Expected time, with weights and penalties, in ms. */
   readonly cost: number
 }
 
-/** What a prompt needs at one engine before its first event. */
-interface PrefillWork {
-  /** Uncached tokens of the prompt, which have to be prefilled. */
-  readonly prefillTokens: number
-  /** Where other segments are fetched from; undefined for no fetch. */
-  readonly fetchFrom: fleet.TargetState | undefined
-  /** Time of the fetch, in ms. */
-  readonly fetchMs: number
-}
-
 /** Inputs of one placement that are the same for all candidates. */
 interface PlacementContext {
   readonly call: calls.Call
   readonly now: number
-  readonly affinityTarget: fleet.TargetState | undefined
-  readonly sources: segmentSource.SegmentSources
+  /** Undefined for a call without token counts. */
+  readonly prefix: prefixChoice.PrefixContext | undefined
   /** The mixed engine of lowest cost in each failure domain. */
   readonly mixedTargets: readonly MixedTarget[]
+  /** Largest cost of a candidate by preference, in ms. */
+  readonly preferenceMs: number
 }
 
 /** A mixed engine that may generate the output. */
@@ -116,8 +111,11 @@
 /** Places model calls by cached tokens, prefill backlog, load, recent failures and failure domain. */
 export class EnginePlacer implements types.Placer {
   private readonly accountWork: admission.AccountWork
+  private readonly preference: enginePreference.EnginePreference
+  private readonly demand = new segmentDemand.SegmentDemand()
 
   constructor (private readonly fleet: fleet.Fleet, private readonly env: time.Env, private readonly ownDomain: string, private readonly gatewayCount: () => number) {
+    this.preference = new enginePreference.EnginePreference(env.random)
     this.accountWork = new admission.AccountWork(env.clock)
   }
 
@@ -128,9 +126,11 @@
     const maxRunning = share.connectionShare(call.service, this.gatewayCount())
     const allTargets = this.fleet.ofService(call.service.name)
     const usableTargets = allTargets.filter((state) => !tried.has(state.record.id) && state.acceptsCalls(now) && state.running < maxRunning)
-    const byAffinity = affinity.rankByAffinity(affinity.affinityKey(call), room.withRoom(call, usableTargets), AFFINITY_WEIGHTS)
+    const key = affinity.affinityKey(call)
+    if (tried.size === 0 && call.prompt !== undefined) this.demand.note(key, now)
+    const byAffinity = affinity.rankByAffinity(key, room.withRoom(call, usableTargets), AFFINITY_WEIGHTS)
     const sources = new segmentSource.SegmentSources(call.prompt, allTargets, now)
-    const chosen = this.cheapestCandidate(call, byAffinity, sources, now)
+    const chosen = this.cheapestCandidate(call, key, byAffinity, sources, now)
     if (chosen === undefined) return undefined
     // The prefill work of a call counts once for its account, not again for its retries.
     if (tried.size === 0 && call.account !== undefined) this.accountWork.add(call.account, chosen.prefillTokens ?? 0)
@@ -147,32 +147,42 @@
 
   // Considers targets in order of affinity, in batches. After a batch, the search ends if the cheapest so far meets the
   // objective; otherwise an idle target anywhere in a large fleet is still found.
-  private cheapestCandidate (call: calls.Call, byAffinity: readonly fleet.TargetState[], sources: segmentSource.SegmentSources, now: number): Candidate | undefined {
+  private cheapestCandidate (call: calls.Call, key: string, byAffinity: readonly fleet.TargetState[], sources: segmentSource.SegmentSources, now: number): Candidate | undefined {
     const mixedTargets = this.cheapestMixedTargets(byAffinity, call.route.gapSloMs, now)
-    const context: PlacementContext = { call, now, affinityTarget: byAffinity[0], sources, mixedTargets }
+    const preferenceMs = enginePreference.largestCostMs(byAffinity, now)
+    const context: PlacementContext = { call, now, prefix: this.prefixContext(call, key, byAffinity[0], sources, now), mixedTargets, preferenceMs }
     let cheapest: Candidate | undefined
     for (const [index, state] of byAffinity.entries()) {
       if (index >= CANDIDATE_BATCH_SIZE && index % CANDIDATE_BATCH_SIZE === 0 && cheapest !== undefined && this.meetsObjective(call, cheapest, now)) return cheapest
-      const candidate = this.estimateCandidate(state, context)
+      const backlogMs = state.prefillTokensAhead() / state.prefillTokensPerMs(now)
+      // The other parts of the cost are positive.
+      if (cheapest !== undefined && backlogMs >= cheapest.cost) continue
+      const candidate = this.estimateCandidate(state, backlogMs, context)
       if (candidate !== undefined && candidate.cost < (cheapest?.cost ?? Infinity)) cheapest = candidate
     }
     return cheapest
   }
 
+  private prefixContext ({ prompt, service }: calls.Call, key: string, affinityTarget: fleet.TargetState | undefined, sources: segmentSource.SegmentSources, now: number): prefixChoice.PrefixContext | undefined {
+    if (prompt === undefined || affinityTarget === undefined) return undefined
+    const ownTokens = Math.max(0, prompt.promptTokens - sources.cachedTokens)
+    const callMs = affinityTarget.prefillMs(ownTokens, prompt.promptTokens, now)
+    const copies = this.demand.copyNeed(key, { callMs, holders: sources.holders, gateways: this.gatewayCount(), now })
+    return { prompt, sharedTokens: prefixChoice.countSharedTokens(prompt), limits: service.engine, sources, affinityTarget, copies, now }
+  }
+
   private meetsObjective (call: calls.Call, candidate: Candidate, now: number): boolean {
     return candidate.expectedMs + now - call.arrivedAt <= call.route.sloMs * SLO_TOLERANCE_FACTOR
   }
 
   // Expected time and cost when the target of `state` prefills the prompt. Undefined while it is paused after a failed KV
   // transfer, or when it only prefills and no mixed engine is left.
-  private estimateCandidate (state: fleet.TargetState, context: PlacementContext): Candidate | undefined {
-    const { call, now } = context
+  private estimateCandidate (state: fleet.TargetState, backlogMs: number, context: PlacementContext): Candidate | undefined {
+    const { call, now, preferenceMs } = context
     const prefillOnly = state.record.stage === 'prefill'
     if (prefillOnly && now - state.kvTransferFailedAt < KV_TRANSFER_PAUSE_MS) return undefined
-    const tokensPerMs = state.prefillTokensPerMs(now)
-    const work = this.prefillWork(state, tokensPerMs, context)
-    const backlogMs = state.prefillTokensAhead() / tokensPerMs
-    const prefillMs = state.prefillMs(work.prefillTokens, call.prompt?.promptTokens ?? 0, now)
+    const prefix = context.prefix === undefined ? NO_PREFIX : prefixChoice.choosePrefix(state, backlogMs, context.prefix)
+    const { prefillMs, fetchMs } = prefix
     const handover = prefillOnly ? this.cheapestHandover(state, context) : undefined
     if (prefillOnly && handover === undefined) return undefined
     const target = handover?.mixed.state ?? state
@@ -182,26 +192,13 @@
     return {
       target,
       prefillTarget: prefillOnly ? state : undefined,
-      fetchFrom: work.fetchFrom,
+      fetchFrom: prefix.fetchFrom,
+      prefix,
       priority: call.priority,
-      prefillTokens: work.prefillTokens,
-      expectedMs: backlogMs + work.fetchMs + prefillMs + laterMs + FIRST_EVENT_OVERHEAD_MS,
-      cost: backlogMs + work.fetchMs + prefillMs * PREFILL_COST_WEIGHT + laterCost + sourceCost + (prefillOnly ? 0 : lateStreamCostMs(state.load(now), backlogMs + prefillMs, call.route.gapSloMs))
-    }
-  }
-
-  // Fetches segments that another engine has cached when that is faster than to prefill them.
-  private prefillWork (state: fleet.TargetState, tokensPerMs: number, context: PlacementContext): PrefillWork {
-    const { call: { prompt, service }, sources, affinityTarget } = context
-    if (prompt === undefined) return { prefillTokens: 0, fetchFrom: undefined, fetchMs: 0 }
-    const cached = state.cache.tokensCachedOnArrival(prompt)
-    const source = kvTransfer.isRateKnown(service.engine) ? sources.bestFor(state) : undefined
-    if (source !== undefined && source.cachedTokens > cached) {
-      const fetchMs = kvTransfer.transferMs(service.engine, source.cachedTokens - cached, source.state.record, state.record)
-      if (fetchMs < (source.cachedTokens - cached) / tokensPerMs) return { prefillTokens: Math.max(0, prompt.promptTokens - source.cachedTokens), fetchFrom: source.state, fetchMs }
+      prefillTokens: prefix.prefillTokens,
+      expectedMs: backlogMs + fetchMs + prefillMs + laterMs + FIRST_EVENT_OVERHEAD_MS,
+      cost: backlogMs + (prefix.copiesAhead ? 0 : fetchMs) + prefillMs * PREFILL_COST_WEIGHT + prefix.displacementMs + laterCost + sourceCost + (preferenceMs === 0 ? 0 : preferenceMs * this.preference.costShare(state)) + (prefillOnly ? 0 : lateStreamCostMs(state.load(now), backlogMs + prefillMs, call.route.gapSloMs))
     }
-    const assumed = cached === 0 && state === affinityTarget ? sharedTokens(prompt) * AFFINITY_CACHED_SHARE : cached
-    return { prefillTokens: Math.max(0, prompt.promptTokens - assumed), fetchFrom: undefined, fetchMs: 0 }
   }
 
   // The mixed engine that generates after `state` has prefilled the prompt.
@@ -261,10 +258,3 @@
   const { slots } = state.record
   return load * DELAY_PER_CALL_MS + (load < slots ? 0 : SLOT_WAIT_MS * (load - slots + 1) / slots)
 }
-
-/** Tokens of all segments except the last, which is the request's own. */
-function sharedTokens (prompt: calls.Prompt): number {
-  let tokens = 0
-  for (const segment of prompt.segments.slice(0, -1)) tokens += segment.tokens
-  return tokens
-}
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,4 +1,4 @@
 /** Placement: choice of the target of each call. */
-export type { Placement, Placer } from './types.js'
+export type { Placement, Placer, PrefixChoice, PrefixWay } from './types.js'
 export { PlainPlacer } from './plain-placer.js'
 export { EnginePlacer } from './engine-placer.js'
--- a/src/placement/segment-source.ts
+++ b/src/placement/segment-source.ts
@@ -16,6 +16,8 @@
 export class SegmentSources {
   private readonly byDomain = new Map<string, SegmentSource>()
   private best: SegmentSource | undefined
+  /** Engines that have the start of the prompt cached. */
+  readonly holders: SegmentSource[] = []
 
   /** Leaving engines are sources too: what they have cached can be rescued until they end. */
   constructor (prompt: calls.Prompt | undefined, states: readonly fleet.TargetState[], now: number) {
@@ -34,7 +36,13 @@
     return best?.state === state ? undefined : best
   }
 
+  /** Most tokens at the start of the prompt that any engine has cached. */
+  get cachedTokens (): number {
+    return this.best?.cachedTokens ?? 0
+  }
+
   private add (source: SegmentSource): void {
+    this.holders.push(source)
     const { domain } = source.state.record
     if (source.cachedTokens > (this.byDomain.get(domain)?.cachedTokens ?? 0)) this.byDomain.set(domain, source)
     if (source.cachedTokens > (this.best?.cachedTokens ?? 0)) this.best = source
--- a/test/support/model-engines.ts
+++ b/test/support/model-engines.ts
@@ -21,6 +21,18 @@
   readonly kvCapacityTokens: number
   /** Time to transfer the KV cache of one token, in ms. */
   readonly transferMsPerToken: number
+  /** Speed of an engine against its stage, by address; all are alike without it. */
+  readonly speedFactor?: (address: string) => number
+  /** How long work takes at an engine at a time, 1 is normal; reported in the load header. */
+  readonly workFactor?: (address: string, now: number) => number
+  /** Whether engines leave the work factor out of the load header. */
+  readonly reportsNormal?: boolean
+  /** Time that each kilotoken of context adds to a token, as a share of its time without context. */
+  readonly contextShare?: number
+  /** Whether a prompt waits until the KV cache has room for it beside those of the running streams. */
+  readonly waitsForRoom?: boolean
+  /** Called when an engine has cached or evicted a segment; 0 tokens for an evicted one. */
+  readonly onCacheChange?: (address: string, id: string, tokens: number) => void
 }
 
 interface PendingPrefill {
@@ -33,6 +45,7 @@
 interface RunningStream {
   readonly handler: upstream.ResponseHandler
   readonly totalTokens: number
+  readonly heldTokens: number
   tokens: number
   events: number
 }
@@ -44,7 +57,7 @@
   /** Prompt tokens that were prefilled. */
   prefilledTokens = 0
 
-  constructor (readonly stage: serving.Stage, private readonly sizes: EngineSizes) {}
+  constructor (private readonly record: serving.TargetRecord, private readonly sizes: EngineSizes, private readonly clock: Pick<time.Clock, 'now'>) {}
 
   cachedTokens (prompt: calls.Prompt): number {
     let tokens = 0
@@ -60,36 +73,60 @@
     let tokens = 0
     for (const segment of prompt.segments) {
       tokens += segment.tokens
-      if (tokens > upToTokens) return
-      this.cached.delete(segment.id)
+      if (tokens > upToTokens) break
+      if (!this.cached.delete(segment.id)) this.sizes.onCacheChange?.(this.record.address, segment.id, segment.tokens)
       this.cached.set(segment.id, segment.tokens)
     }
     let total = [...this.cached.values()].reduce((sum, size) => sum + size, 0)
     for (const [id, size] of this.cached) {
       if (total <= this.sizes.kvCapacityTokens) return
       this.cached.delete(id)
+      this.sizes.onCacheChange?.(this.record.address, id, 0)
       total -= size
     }
   }
 
+  private get workFactor (): number {
+    return this.sizes.workFactor?.(this.record.address, this.clock.now()) ?? 1
+  }
+
+  /** Headers of a response. */
+  head (id: string): Readonly<Record<string, string>> {
+    const load = `${this.streams.size},${this.pending.length},${this.record.slots}`
+    return { 'request-id': id, 'server-load': this.sizes.workFactor === undefined || this.sizes.reportsNormal === true ? load : `${load},${Math.round(this.workFactor * 100)}` }
+  }
+
+  /** Work of the prompt of a job: tokens that are not cached, those with context before them count more. */
+  private workTokens ({ call: { prompt } }: PendingPrefill): number {
+    const tokens = Math.max(1, prompt!.promptTokens - this.cachedTokens(prompt!))
+    return tokens * (1 + (this.sizes.contextShare ?? 0) * (prompt!.promptTokens - tokens / 2) / 1_000)
+  }
+
+  private hasRoom ({ call: { prompt } }: PendingPrefill): boolean {
+    let held = 0
+    for (const stream of this.streams) held += stream.heldTokens
+    return this.sizes.waitsForRoom !== true || held === 0 || held + prompt!.promptTokens + prompt!.outputTokens <= this.sizes.kvCapacityTokens
+  }
+
   enqueue (call: calls.Call, plan: calls.SendPlan, handler: upstream.ResponseHandler): void {
     this.pending.push({ call, plan, handler, remainingTokens: -1 })
   }
 
   startStream (call: calls.Call, handler: upstream.ResponseHandler): void {
-    const stream = { handler, totalTokens: Math.max(1, call.prompt!.outputTokens), tokens: 0, events: 0 }
+    const stream = { handler, totalTokens: Math.max(1, call.prompt!.outputTokens), heldTokens: call.prompt!.promptTokens + call.prompt!.outputTokens, tokens: 0, events: 0 }
     this.streams.add(stream)
-    handler.onHead(200, { 'request-id': call.id })
+    handler.onHead(200, this.head(call.id))
     this.generate(stream, 1)
   }
 
   tick (): void {
     const prefilling = this.pending.length > 0
-    let budgetTokens = TICK_MS * this.sizes.tokensPerMs[this.stage]
+    let budgetTokens = TICK_MS * this.sizes.tokensPerMs[this.record.stage ?? 'decode'] * (this.sizes.speedFactor?.(this.record.address) ?? 1) / this.workFactor
     while (budgetTokens > 0 && this.pending.length > 0) {
       const job = this.pending[0]!
+      if (job.remainingTokens < 0 && !this.hasRoom(job)) break
       // What calls ahead have prefilled meanwhile is found in the cache.
-      if (job.remainingTokens < 0) job.remainingTokens = Math.max(1, job.call.prompt!.promptTokens - this.cachedTokens(job.call.prompt!))
+      if (job.remainingTokens < 0) job.remainingTokens = this.workTokens(job)
       const tokens = Math.min(budgetTokens, job.remainingTokens)
       budgetTokens -= tokens
       job.remainingTokens -= tokens
@@ -106,7 +143,7 @@
       this.startStream(call, handler)
       return
     }
-    handler.onHead(200, { 'request-id': call.id })
+    handler.onHead(200, this.head(call.id))
     handler.onData(Buffer.from(JSON.stringify({ kvHandle: 'h' })))
     handler.onEnd()
   }
@@ -128,7 +165,7 @@
   private nextPlan = 0
 
   constructor (private readonly clock: time.VirtualTime, private readonly sizes: EngineSizes, records: readonly serving.TargetRecord[]) {
-    for (const record of records) this.engines.set(record.address, new ModelEngine(record.stage ?? 'decode', sizes))
+    for (const record of records) this.engines.set(record.address, new ModelEngine(record, sizes, clock))
     clock.every(TICK_MS, () => { for (const engine of this.engines.values()) engine.tick() })
   }
 
