Command explain: where a running gateway would place a call now, and why

Placements could only be reconstructed from log lines of calls that had been sent. explain asks a gateway over its peer port for the candidates with the parts of their cost, the decision and its reason; random parts count with their mean, no call is sent and no count of segments or accounts changes. Considered: to compute it from the store alone (loads, caches and speeds are not there).

--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -17,6 +17,7 @@
 import * as upstream from '../upstream/index.js'
 import * as gateway from './gateway.js'
 import * as httpFrontend from './http-frontend.js'
+import * as placementExplainer from './placement-explainer.js'
 import * as stopTimes from './stop-times.js'
 import type * as types from './types.js'
 
@@ -234,12 +235,14 @@
     const gateways = (): number => this.directory.gatewayCount
     const plainPlacer = new placement.PlainPlacer(this.fleet, env, settings.domain, gateways)
     const enginePlacer = new placement.EnginePlacer(this.fleet, env, settings.domain, gateways)
+    const placerFor = (call: calls.Call): placement.Placer => call.service.engine === undefined ? plainPlacer : enginePlacer
+    placementExplainer.explainPlacements({ peers: this.peers, feed: this.feed, clock: env.clock, placerFor })
     const forwarder = new forward.Forwarder({
       env,
       upstream: this.pool,
       protocol: targetProtocol,
       onExecution: (call) => { if (call.account !== undefined) this.usageLedger.countRequest(call.account) },
-      placerFor: (call) => call.service.engine === undefined ? plainPlacer : enginePlacer,
+      placerFor,
       budgetFor: (service) => this.budgetFor(service),
       fleet: this.fleet,
       quarantine: this.quarantine,
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -1,6 +1,7 @@
 /** Types of placement. */
 import type * as fleet from '../fleet/index.js'
 import type * as calls from '../call/index.js'
+import type * as explanation from './explanation.js'
 
 /**
  * Where the shared beginning of a prompt comes from: the engine has it, it fetches it, or it prefills it. `none`: the prompt has
@@ -49,4 +50,6 @@
 export interface Placer {
   /** The cheapest usable target whose id is not in `tried`; undefined when there is none. */
   place (call: calls.Call, tried: ReadonlySet<string>): Placement | undefined
+  /** Where a call would be placed now and why; changes nothing. */
+  explain (call: calls.Call): explanation.Explanation
 }
--- a/test/support/gateway-process.ts
+++ b/test/support/gateway-process.ts
@@ -38,6 +38,8 @@
   private readonly servers: http.Server[] = []
   /** Port for callers; 0 before the start. */
   callerPort = 0
+  /** Port for other gateways; 0 before the start. */
+  peerPort = 0
 
   /** Starts a server of the plain service and adds it to the list of targets. */
   async addServer (id: string, handler: http.RequestListener): Promise<void> {
@@ -53,6 +55,7 @@
     await this.store.put(servingConfig.CONFIG_KEY, JSON.stringify(config), 'absent')
     const ports = await freePorts(2)
     this.callerPort = ports[0]!
+    this.peerPort = ports[1]!
     const logOutput = { write: (line: string) => this.lines.push(line.trim()) > 0 }
     this.node = new gateway.GatewayNode({
       settings: {
@@ -63,7 +66,7 @@
         callerHost: HOST,
         callerPort: this.callerPort,
         peerHost: HOST,
-        peerPort: ports[1]!,
+        peerPort: this.peerPort,
         bounds: { keyRevocationMs: 5_000, leavePropagationMs: 2_000, targetExpiryMs: 2_400, configPropagationMs: 2_000, retryLimits: { ratio: 0.2, slack: 50, windowMs: 10_000 }, graceMs, takeoverDelayMs: 3_000, usageWindowMs: 5_000 }
       },
       env: time.systemEnv(),
