--- a/src/placement/affinity.ts
+++ b/src/placement/affinity.ts
@@ -24,8 +24,8 @@
     .map((entry) => entry.state)
 }
 
-// Maps the hash to a number below 1, so that its logarithm is never 0.
+// Weighted rendezvous hashing orders by `u ** (1 / weight)` for a uniform number u.
 function affinityScore (keyHash: number, id: string, weight: number): number {
-  const uniform = (hash.hash32(id, keyHash) + 1) / 2 ** 32
-  return -weight / Math.log(Math.min(uniform, 1 - 2 ** -33))
+  const uniform = hash.hash32(id, keyHash) / 2 ** 32
+  return weight === 1 ? uniform : uniform ** (1 / weight)
 }
--- a/src/placement/engine-candidates.ts
+++ b/src/placement/engine-candidates.ts
@@ -12,7 +12,7 @@
 const SLO_TOLERANCE_FACTOR = 1.1
 
 /** Targets considered together, in order of affinity; the next ones only when none so far meets the objective. */
-const CANDIDATE_BATCH_SIZE = 12
+const CANDIDATE_BATCH_SIZE = 24
 
 /** Time for which a prefill-only engine gets no prompts after a KV transfer from it failed, in ms. */
 const KV_TRANSFER_PAUSE_MS = 1_500
--- a/src/placement/engine-preference.ts
+++ b/src/placement/engine-preference.ts
@@ -7,7 +7,7 @@
 import type * as time from '../time/index.js'
 
 /** Largest cost by preference, as a multiple of the mean prefill work of other gateways at an engine: the busier they are, the more they collide. */
-const LARGEST_COST_SHARE = 6
+const LARGEST_COST_SHARE = 8
 
 /** Preferences of one gateway. */
 export class EnginePreference {
