Room: count shared segments only at the gateway whose calls hold them; load reports of polls; bound of remembered slowdowns

The head of a response to a poll of cache events has the load header too; it is decoded there, which makes work factors more recent at no request.

--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -170,6 +170,8 @@
 export interface CacheProtocol {
   /** Request for the changes since a position; the engine waits up to `waitMs` for the first one. */
   encodeCacheQuery (target: serving.TargetRecord, since: number, waitMs: number): CacheQuery
+  /** Load that the response reports; undefined when there is none, or it is malformed. */
+  decodeLoad (headers: upstream.ResponseHeaders): ReportedLoad | undefined
   /** Undefined when the body cannot be decoded. */
   decodeCacheChanges (body: Uint8Array): CacheChanges | undefined
 }
--- a/src/fleet/cache-feed.ts
+++ b/src/fleet/cache-feed.ts
@@ -118,7 +118,7 @@
   private async fetchChanges (state: targetState.TargetState, since: number, waitMs: number, graceMs: number): Promise<calls.CacheChanges | undefined> {
     const { protocol, log } = this.deps
     try {
-      const body = await this.fetchBody(state.record.address, protocol.encodeCacheQuery(state.record, since, waitMs), waitMs + graceMs)
+      const body = await this.fetchBody(state, protocol.encodeCacheQuery(state.record, since, waitMs), waitMs + graceMs)
       return body === undefined ? undefined : protocol.decodeCacheChanges(body)
     } catch (err) {
       log.error({ err, target: state.record.id }, 'cache_feed_failed')
@@ -147,8 +147,8 @@
     return { epoch: batch.epoch, since: batch.next }
   }
 
-  /** The body of a complete response with status 200; undefined for any other outcome. */
-  private async fetchBody (address: string, req: calls.CacheQuery, timeoutMs: number): Promise<Uint8Array | undefined> {
+  /** The body of a complete response with status 200, whose load report is applied; undefined for any other outcome. */
+  private async fetchBody (state: targetState.TargetState, req: calls.CacheQuery, timeoutMs: number): Promise<Uint8Array | undefined> {
     return await new Promise((resolve) => {
       const collector = new bytes.ByteCollector(MAX_RESPONSE_BYTES)
       let ok = false
@@ -157,8 +157,12 @@
         timer[Symbol.dispose]()
         resolve(body)
       }
-      const request = this.deps.upstream.send({ address, ...req, body: new Uint8Array(0), nonIdempotent: false }, {
-        onHead: (status) => { ok = status === 200 },
+      const request = this.deps.upstream.send({ address: state.record.address, ...req, body: new Uint8Array(0), nonIdempotent: false }, {
+        onHead: (status, headers) => {
+          ok = status === 200
+          const load = ok ? this.deps.protocol.decodeLoad(headers) : undefined
+          if (load !== undefined) state.applyReportedLoad(load, this.deps.env.clock.now())
+        },
         onData: (chunk) => {
           if (collector.add(chunk)) return
           request.abort()
--- a/src/fleet/held-tokens.ts
+++ b/src/fleet/held-tokens.ts
@@ -9,11 +9,17 @@
 /** Tokens that this gateway's calls hold: each call its own segment and its output, and a shared segment once for all of them. */
 export class HeldTokens {
   private readonly shared = new Map<string, HeldSegment>()
-  private tokens = 0
+  private sharedTokens = 0
+  private unsharedTokens = 0
 
   /** Tokens held now. */
   get total (): number {
-    return this.tokens
+    return this.sharedTokens + this.unsharedTokens
+  }
+
+  /** Tokens held now that calls of other gateways certainly do not hold too. */
+  get unshared (): number {
+    return this.unsharedTokens
   }
 
   /** Tokens that a call with this prompt would add. */
@@ -25,25 +31,25 @@
 
   /** Notes that a call was sent to the engine. */
   hold (prompt: calls.Prompt): void {
-    this.tokens += ownTokens(prompt)
+    this.unsharedTokens += ownTokens(prompt)
     for (const { id, tokens } of sharedSegments(prompt)) {
       const held = this.shared.get(id)
       if (held !== undefined) held.calls++
       else {
         this.shared.set(id, { tokens, calls: 1 })
-        this.tokens += tokens
+        this.sharedTokens += tokens
       }
     }
   }
 
   /** Notes that the call has ended there. */
   release (prompt: calls.Prompt): void {
-    this.tokens -= ownTokens(prompt)
+    this.unsharedTokens -= ownTokens(prompt)
     for (const { id } of sharedSegments(prompt)) {
       const held = this.shared.get(id)
       if (held === undefined || --held.calls > 0) continue
       this.shared.delete(id)
-      this.tokens -= held.tokens
+      this.sharedTokens -= held.tokens
     }
   }
 }
--- a/src/fleet/peer-load.ts
+++ b/src/fleet/peer-load.ts
@@ -9,7 +9,7 @@
 /** Time for which calculated totals are reused, in ms: a relay replies to many members. */
 const TOTALS_REUSE_MS = 20
 
-/** Load on one target: the target's id, calls in flight, prompt tokens still to be prefilled, and tokens that the calls hold; 0 is left out. */
+/** Load on one target: the target's id, calls in flight, prompt tokens still to be prefilled, and tokens that its calls hold and no other call; 0 is left out. */
 export const LoadRow = z.tuple([z.string(), z.int(), z.int(), z.int().optional()])
 export type LoadRow = z.infer<typeof LoadRow>
 
@@ -69,7 +69,7 @@
     return this.loadOf(target).prefillTokens
   }
 
-  /** Tokens of KV cache that other gateways' calls hold at a target. */
+  /** Tokens of KV cache that other gateways' calls hold at a target, without shared segments: gateways may hold the same ones. */
   heldTokens (target: string): number {
     return this.loadOf(target).heldTokens
   }
--- a/src/fleet/slowdowns.ts
+++ b/src/fleet/slowdowns.ts
@@ -15,6 +15,9 @@
 /** Rows in one message. */
 const MAX_ROWS = 400
 
+/** Targets that are remembered; the one whose last report is oldest is forgotten first. */
+const MAX_TARGETS = 1_000
+
 /** A target, its work factor in percent, and the age of that report in ms. */
 const SlowdownRow = z.tuple([z.string(), z.number().positive(), z.number().nonnegative()])
 const SlowdownRows = z.array(SlowdownRow)
@@ -79,7 +82,9 @@
   private set (target: string, factor: number, at: number, link: exchange.Link | undefined): void {
     const assumed = new workFactor.WorkFactor()
     assumed.note(factor, at)
+    this.told.delete(target)
     this.told.set(target, { assumed, factor, at, position: ++this.position, link })
+    if (this.told.size > MAX_TARGETS) this.told.delete(this.told.keys().next().value!)
   }
 }
 
--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -151,7 +151,7 @@
     return this.known.peerLoad.pendingPrefillTokens(this.record.id)
   }
 
-  /** Tokens of KV cache that calls of all gateways hold. */
+  /** Tokens of KV cache that calls of all gateways hold; shared segments only as far as this gateway's calls hold them. */
   heldTokens (): number {
     return this.held.total + this.known.peerLoad.heldTokens(this.record.id)
   }
@@ -186,7 +186,7 @@
   toRow (): peerLoad.LoadRow | undefined {
     if (this.running === 0) return undefined
     const row: peerLoad.LoadRow = [this.record.id, this.running, Math.round(this.pendingPrefillTokens)]
-    if (this.held.total > 0) row[3] = Math.round(this.held.total)
+    if (this.held.unshared > 0) row[3] = Math.round(this.held.unshared)
     return row
   }
 }
--- a/test/fleet/cache.test.ts
+++ b/test/fleet/cache.test.ts
@@ -23,6 +23,7 @@
   const virtual = new time.VirtualTime()
   const knownTargets = build.aFleet(virtual, Array.from({ length: 20 }, (_, index) => build.aTarget(`e${index}`, { stage: 'decode' })))
   const protocol: calls.CacheProtocol = {
+    decodeLoad: () => ({ running: 2, waiting: 1, slots: 4 }),
     encodeCacheQuery: () => ({ method: 'GET', path: '/', headers: [] }) as unknown as calls.CacheQuery,
     decodeCacheChanges: () => {
       if (failingPolls-- > 0) throw new Error('cannot decode')
@@ -67,6 +68,7 @@
     await virtual.advance(12_000)
     chai.expect([...knownTargets.all()].filter((state) => state.cache.tokensOf('p') === 1_000)).to.have.length(20)
     chai.expect(pollCount()).to.be.greaterThan(23)
+    chai.expect([...knownTargets.all()].some((state) => state.load(virtual.now()) > 0), 'load reported in responses to polls').to.equal(true)
   })
 
   it('polls every engine when there are only four gateways, and tells the others nothing', async () => {
--- a/test/replay/uneven-engines.test.ts
+++ b/test/replay/uneven-engines.test.ts
@@ -31,26 +31,21 @@
   return Number(address.split(':')[0]!.split('.')[3])
 }
 
-interface RunOptions {
+/** `knownCapacityTokens`: capacity that gateways know of, that of the engines when absent. `delayMs`: of what gateways tell each other, 200 when absent. */
+interface RunOptions extends Pick<gatewayFleet.GatewayFleetOptions, 'gateways' | 'withoutTopics' | 'alike'> {
   readonly sizes?: Partial<model.EngineSizes>
   readonly engines?: number
-  readonly gateways: number
-  readonly withoutTopics?: readonly string[]
-  /** Capacity that gateways know of; by default that of the engines. */
   readonly knownCapacityTokens?: number
-  readonly alike?: boolean
   readonly withoutFetch?: boolean
-  /** Delay of what gateways tell each other, in ms; 200 when absent. */
   readonly delayMs?: number
 }
 
-function create (options: RunOptions, seed: number): gatewayFleet.GatewayFleet {
-  const { gateways, engines = 12, withoutTopics, alike } = options
-  const sizes = { ...SIZES, ...options.sizes }
-  const kvLinkBytesPerMs = options.withoutFetch === true ? undefined : KV_TOKEN_BYTES / sizes.transferMsPerToken
-  const engine = { slots: 64, kvCapacityTokens: options.knownCapacityTokens ?? sizes.kvCapacityTokens, kvTokenBytes: KV_TOKEN_BYTES, kvLinkBytesPerMs }
+function create ({ sizes: changed, engines = 12, knownCapacityTokens, withoutFetch = false, delayMs = 200, ...options }: RunOptions, seed: number): gatewayFleet.GatewayFleet {
+  const sizes = { ...SIZES, ...changed }
+  const kvLinkBytesPerMs = withoutFetch ? undefined : KV_TOKEN_BYTES / sizes.transferMsPerToken
+  const engine = { slots: 64, kvCapacityTokens: knownCapacityTokens ?? sizes.kvCapacityTokens, kvTokenBytes: KV_TOKEN_BYTES, kvLinkBytesPerMs }
   const service = build.aService({ maxConnections: 800, engine })
-  return new gatewayFleet.GatewayFleet({ records: engineRecords(engines), sizes, service, gateways, exchangeMs: 100, exchangeDelayMs: options.delayMs ?? 200, withoutTopics, alike, seed })
+  return new gatewayFleet.GatewayFleet({ records: engineRecords(engines), sizes, service, exchangeMs: 100, exchangeDelayMs: delayMs, seed, ...options })
 }
 
 let ownSegments = 0
--- a/test/support/gateway-fleet.ts
+++ b/test/support/gateway-fleet.ts
@@ -126,7 +126,7 @@
 
   private noteCacheChange (address: string, id: string, tokens: number): void {
     for (const gateway of this.gateways) {
-      for (const state of gateway.fleet.all()) if (state.record.address === address) state.cache.applyReport(id, tokens)
+      for (const state of gateway.fleet.all()) if (state.record.address === address) state.cache.applyReport(id, tokens, this.virtual.now())
     }
   }
 
--- a/test/support/model-engines.ts
+++ b/test/support/model-engines.ts
@@ -86,9 +86,7 @@
     }
   }
 
-  private get workFactor (): number {
-    return this.sizes.workFactor?.(this.record.address, this.clock.now()) ?? 1
-  }
+  private get workFactor (): number { return this.sizes.workFactor?.(this.record.address, this.clock.now()) ?? 1 }
 
   /** Headers of a response. */
   head (id: string): Readonly<Record<string, string>> {
