Load topic: held tokens beside the rows, so that gateways of earlier versions accept the rows

A row of four fields was rejected by them (exchange_malformed), so during an update they would have placed calls without the load of the updated gateways. Unknown fields of a payload are ignored.

--- a/src/fleet/peer-load.ts
+++ b/src/fleet/peer-load.ts
@@ -13,8 +13,11 @@
 export const LoadRow = z.tuple([z.string(), z.int(), z.int(), z.int().optional()])
 export type LoadRow = z.infer<typeof LoadRow>
 
-/** `complete`: targets that are not listed have no load; otherwise their load is unchanged. */
-const LoadChanges = z.object({ complete: z.boolean(), rows: z.array(LoadRow) })
+/**
+ * `complete`: targets that are not listed have no load; otherwise their load is unchanged. Held tokens are beside the rows, in their order,
+ * as gateways of earlier versions accept rows of three fields only; absent when none are held.
+ */
+const LoadChanges = z.object({ complete: z.boolean(), rows: z.array(z.tuple([z.string(), z.int(), z.int()])), held: z.array(z.int()).optional() })
 
 interface Load {
   readonly running: number
@@ -80,11 +83,12 @@
     if (link.kind === 'relay') this.sentOwn = toLoads(own)
     const members = [...this.told.values()].filter((told) => told.link.kind === 'member')
     const rows = members.length === 0 ? own : toRows(addUp([own, ...members.map((told) => told.rows)]))
-    return { next: ++this.position, payload: { complete: true, rows } }
+    return { next: ++this.position, payload: toPayload(true, rows) }
   }
 
   apply (link: exchange.Link, payload: unknown): boolean {
-    const { complete, rows } = LoadChanges.parse(payload)
+    const { complete, rows: received, held = [] } = LoadChanges.parse(payload)
+    const rows = received.map(([target, running, prefillTokens], index): LoadRow => [target, running, prefillTokens, held[index] ?? 0])
     if (link.kind !== 'relay') {
       this.told.set(link.gateway, { link, rows })
       this.sumUp()
@@ -133,7 +137,7 @@
     for (const [target, total] of this.totals) {
       if (total.position > (position ?? 0)) rows.push(toRow(target, total))
     }
-    return { next: this.position, payload: { complete: position === undefined, rows } }
+    return { next: this.position, payload: toPayload(position === undefined, rows) }
   }
 
   private refreshTotals (): void {
@@ -172,6 +176,12 @@
   return [...loads].map(([target, load]) => toRow(target, load))
 }
 
+function toPayload (complete: boolean, rows: readonly LoadRow[]): z.infer<typeof LoadChanges> {
+  const held = rows.map(([, , , heldTokens = 0]) => heldTokens)
+  const payload = { complete, rows: rows.map(([target, running, prefillTokens]): [string, number, number] => [target, running, prefillTokens]) }
+  return held.every((tokens) => tokens === 0) ? payload : { ...payload, held }
+}
+
 function toLoad ([, running, prefillTokens, heldTokens = 0]: LoadRow): Load {
   return { running, prefillTokens, heldTokens }
 }
--- a/test/placement/placers.test.ts
+++ b/test/placement/placers.test.ts
@@ -128,7 +128,7 @@
     const large = { promptTokens: 995_000, outputTokens: 50, segments: [{ id: 'x', tokens: 995_000 }] }
     state('p1').held.hold(large)
     state('e2').held.hold(large)
-    fleet.peerLoad.apply({ gateway: 'g2', incarnation: '1', kind: 'fellow' }, { complete: true, rows: [['p2', 1, 0, 990_000]] })
+    fleet.peerLoad.apply({ gateway: 'g2', incarnation: '1', kind: 'fellow' }, { complete: true, rows: [['p2', 1, 0]], held: [990_000] })
     chai.expect(new Set(chosenIds())).to.deep.equal(new Set(['e1']))
     state('e1').held.hold(large)
     chai.expect(chosenIds()).to.include('p1')
