--- a/src/capacity/demand-meter.ts
+++ b/src/capacity/demand-meter.ts
@@ -51,7 +51,7 @@
 export class DemandMeter {
   private readonly services = new Map<string, ServiceDemand>()
 
-  constructor (private readonly clock: time.Clock, private readonly speeds: Pick<fleet.StageSpeeds, 'of'>) {}
+  constructor (private readonly clock: time.Clock, private readonly speeds: Pick<fleet.EngineSpeeds, 'tokensPerMs'>) {}
 
   /** Counts the work of an attempt at an engine. */
   noteAttempt (ended: EndedAttempt): void {
@@ -98,7 +98,7 @@
     const { sloMs } = call.route
     if (prefillOnly || (firstEventAt ?? endedAt) - call.arrivedAt <= sloMs) return false
     const isQueued = tokensAhead > 0 || sentAt - call.arrivedAt > sloMs * MAX_UNSENT_SLO_SHARE
-    const prefillMs = prefillTokens / this.speeds.of(call.service.name, target.stage ?? 'decode').tokensPerMs(endedAt)
+    const prefillMs = prefillTokens / this.speeds.tokensPerMs(target)
     return isQueued && prefillMs <= sloMs * MAX_PREFILL_SLO_SHARE
   }
 
--- a/src/duties/capacity-orders.ts
+++ b/src/duties/capacity-orders.ts
@@ -103,8 +103,8 @@
       count: serving.length,
       mixedCount: serving.filter((target) => target.record.stage !== 'prefill').length,
       tokensPerMs: serving.reduce((sum, target) => sum + target.prefillTokensPerMs(now), 0),
-      prefillTokensPerMs: speeds.of(service, 'prefill').tokensPerMs(now),
-      mixedTokensPerMs: speeds.of(service, 'decode').tokensPerMs(now)
+      prefillTokensPerMs: speeds.tokensPerMs({ service, stage: 'prefill' }),
+      mixedTokensPerMs: speeds.tokensPerMs({ service, stage: 'decode' })
     }
   }
 
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -22,6 +22,7 @@
 import * as waiting from '../waiting/index.js'
 import * as gateway from './gateway.js'
 import * as httpFrontend from './http-frontend.js'
+import * as placementExplainer from './placement-explainer.js'
 import * as stopTimes from './stop-times.js'
 import type * as types from './types.js'
 
@@ -129,7 +130,7 @@
     this.demand = new capacity.DemandTopic({ clock: env.clock, gateway: settings.name, incarnation: settings.incarnation, meter: this.demandMeter, isRelay })
     this.accountWork = new admission.AccountWork(env.clock)
     this.admission = new waiting.CallAdmission({ env, fleet: this.fleet, gateways: () => this.directory.gatewayCount, accountWork: this.accountWork, log, metrics })
-    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine, this.demand, this.admission.topic]
+    const topics = [this.roster, this.feed, this.fleetFeed, ...this.fleet.topics, this.usageLedger, this.quarantine, this.demand, this.admission.topic]
     this.exchange = new exchange.Exchange({ env, elapsed: this.elapsed, peers: this.peers, self, roster: this.roster, topics, ready: () => this.ready, log })
     this.directory = new directory.Directory({ env, store, eras: deps.eras, self, roster: this.roster, isRelay, ready: () => this.ready, log })
     this.cacheFeed = this.createCacheFeed()
@@ -261,12 +262,14 @@
     const gateways = (): number => this.directory.gatewayCount
     const plainPlacer = new placement.PlainPlacer(this.fleet, env, settings.domain, gateways)
     const enginePlacer = new placement.EnginePlacer(this.fleet, env, settings.domain, gateways, this.accountWork)
+    const placerFor = (call: calls.Call): placement.Placer => call.service.engine === undefined ? plainPlacer : enginePlacer
+    placementExplainer.explainPlacements({ peers: this.peers, feed: this.feed, clock: env.clock, placerFor })
     const forwarder = new forward.Forwarder({
       env,
       upstream: this.pool,
       protocol: targetProtocol,
       onExecution: (call) => { if (call.account !== undefined) this.usageLedger.countRequest(call.account) },
-      placerFor: (call) => call.service.engine === undefined ? plainPlacer : enginePlacer,
+      placerFor,
       budgetFor: (service) => this.budgetFor(service),
       fleet: this.fleet,
       admission: this.admission,
--- a/test/capacity/demand.test.ts
+++ b/test/capacity/demand.test.ts
@@ -15,7 +15,7 @@
 }
 
 function aMeter (virtual: time.VirtualTime): capacity.DemandMeter {
-  return new capacity.DemandMeter(virtual, new fleet.StageSpeeds())
+  return new capacity.DemandMeter(virtual, new fleet.EngineSpeeds(virtual))
 }
 
 describe('DemandMeter', () => {
