Placement and waiting calls together: bound the preference for engines, send several calls at their latest start at once

Cause: with both parts, a mix beyond the capacity at three gateways met 45% of the urgent objectives (85% asked): the preference of a gateway for some engines grew with the backlog of the others, up to seconds, so that idle engines were passed over. Ruled out: no preference (engines whose speeds differ: 13% of calls late against 1.5%). Change: the cost by preference is at most 300 ms, the age that loads have; up to three calls at their latest start are sent in a check.

--- a/src/placement/engine-preference.ts
+++ b/src/placement/engine-preference.ts
@@ -9,6 +9,12 @@
 /** Largest cost by preference, as a multiple of the mean prefill work of other gateways at an engine: the busier they are, the more they collide. */
 const LARGEST_COST_SHARE = 8
 
+/**
+ * Largest cost by preference, in ms: loads are at most about this old. Under overload a larger one would keep a gateway at engines
+ * with long backlogs while others are idle.
+ */
+const LARGEST_COST_MS = 300
+
 /** Preferences of one gateway. */
 export class EnginePreference {
   /** 0 for an engine that is preferred most, up to 1. */
@@ -33,5 +39,5 @@
   if (first === undefined) return 0
   let peerTokens = 0
   for (const state of states) peerTokens += state.peerPrefillTokens()
-  return LARGEST_COST_SHARE * peerTokens / states.length / first.prefillTokensPerMs(now)
+  return Math.min(LARGEST_COST_MS, LARGEST_COST_SHARE * peerTokens / states.length / first.prefillTokensPerMs(now))
 }
--- a/src/waiting/call-admission.ts
+++ b/src/waiting/call-admission.ts
@@ -60,6 +60,9 @@
   timer: Disposable | undefined
 }
 
+/** Calls at their latest start that are sent in one check, at most: the backlog of the targets is known only after it. */
+const MAX_STARTS_PER_CHECK = 3
+
 /** Admission of calls before their first attempt. */
 export class CallAdmission {
   /** Topic of the exchange: what waits at the gateways. */
@@ -150,7 +153,12 @@
     queue.timer = undefined
     const now = this.now()
     const outlook = this.outlook(queue, now)
-    const next = queue.calls.next(now, outlook)
+    let next = queue.calls.next(now, outlook)
+    // Calls at their latest start need no room, and the last of many would be too late if each were sent in a check of its own.
+    for (let ended = 0; next?.cause === 'latest_start' && ended < MAX_STARTS_PER_CHECK; ended++) {
+      this.endWait(queue, next, outlook, now)
+      next = queue.calls.next(now, outlook)
+    }
     if (next !== undefined) this.endWait(queue, next, outlook, now)
     if (queue.calls.size > 0) this.scheduleCheck(queue, next === undefined ? CHECK_MS : NEXT_CHECK_MS)
   }
