--- a/src/exchange/index.ts
+++ b/src/exchange/index.ts
@@ -2,4 +2,5 @@
 export { GatewayRecord, type Changes, type Link, type LinkKind, type Topic } from './types.js'
 export { planRelays, type RelayCandidate, type RelayPlan } from './relay-plan.js'
 export { Roster, type RosterDeps } from './roster.js'
+export { PeerSums, SumRow, type Figures, type PeerSumsDeps } from './peer-sums.js'
 export { Exchange, type ExchangeDeps } from './exchange.js'
--- /dev/null
+++ b/src/exchange/peer-sums.ts
@@ -0,0 +1,152 @@
+/** Sums of figures of all gateways, by key, as the exchange between gateways tells them. */
+import * as z from 'zod'
+import type * as time from '../time/index.js'
+import type * as types from './types.js'
+
+/** Age up to which the totals of the relay count, in ms. */
+const TOTALS_LIFE_MS = 1_000
+
+/** Time for which calculated totals are reused, in ms: a relay replies to many members. */
+const TOTALS_REUSE_MS = 20
+
+/** Two figures of a key. */
+export const SumRow = z.tuple([z.string(), z.int(), z.int()])
+export type SumRow = z.infer<typeof SumRow>
+
+/** `complete`: keys that are not listed have zeros; otherwise their figures are unchanged. */
+const SumChanges = z.object({ complete: z.boolean(), rows: z.array(SumRow) })
+
+/** The two figures of a row. */
+export interface Figures {
+  readonly first: number
+  readonly second: number
+}
+
+const ZEROS: Figures = { first: 0, second: 0 }
+
+/** A total, and the position at which it last changed. */
+interface Total extends Figures {
+  readonly position: number
+}
+
+/** Dependencies of a {@link PeerSums}. */
+export interface PeerSumsDeps {
+  readonly clock: time.Clock
+  /** Figures of this gateway. */
+  readonly ownRows: () => readonly SumRow[]
+}
+
+/**
+ * Sums the figures of all gateways. A relay adds up what its members and the other relays tell it; a member gets the totals
+ * of its relay, and subtracts what it has told itself.
+ */
+export class PeerSums implements types.Topic {
+  /** Rows of members and of fellow relays, by gateway. */
+  private readonly told = new Map<string, { readonly link: types.Link, readonly rows: readonly SumRow[] }>()
+  /** Sums of {@link told}, by key. */
+  private sums = new Map<string, Figures>()
+  /** Totals that the relay told, and when, on the monotonic clock. */
+  private readonly relayTotals = new Map<string, Figures>()
+  private relayToldAt = -Infinity
+  /** Own rows in the last call to the relay, and in the last one that it replied to. */
+  private sentOwn = new Map<string, Figures>()
+  private confirmedOwn = new Map<string, Figures>()
+  /** Totals of all gateways with their last changes, for members. */
+  private totals = new Map<string, Total>()
+  private totalsAt = -Infinity
+  private position = 0
+
+  constructor (readonly name: string, private readonly deps: PeerSumsDeps) {}
+
+  /** Sums of the other gateways. */
+  others (key: string): Figures {
+    if (!this.hasRelay) return this.sums.get(key) ?? ZEROS
+    const total = this.relayTotals.get(key) ?? ZEROS
+    const own = this.confirmedOwn.get(key) ?? ZEROS
+    return { first: Math.max(0, total.first - own.first), second: Math.max(0, total.second - own.second) }
+  }
+
+  changesSince (link: types.Link, position: number | undefined): types.Changes | undefined {
+    if (link.kind === 'member') return this.totalsSince(position)
+    const own = this.deps.ownRows()
+    if (link.kind === 'relay') this.sentOwn = toFigures(own)
+    const members = [...this.told.values()].filter((told) => told.link.kind === 'member')
+    const rows = members.length === 0 ? own : toRows(addUp([own, ...members.map((told) => told.rows)]))
+    return { next: ++this.position, payload: { complete: true, rows } }
+  }
+
+  apply (link: types.Link, payload: unknown): boolean {
+    const { complete, rows } = SumChanges.parse(payload)
+    if (link.kind !== 'relay') {
+      this.told.set(link.gateway, { link, rows })
+      this.sumUp()
+      return true
+    }
+    if (complete) this.relayTotals.clear()
+    for (const [key, first, second] of rows) {
+      if (first === 0 && second === 0) this.relayTotals.delete(key)
+      else this.relayTotals.set(key, { first, second })
+    }
+    this.confirmedOwn = this.sentOwn
+    this.relayToldAt = this.deps.clock.now()
+    return true
+  }
+
+  linkEnded (link: types.Link): void {
+    if (link.kind === 'relay') {
+      this.relayTotals.clear()
+      this.relayToldAt = -Infinity
+    } else if (this.told.delete(link.gateway)) this.sumUp()
+  }
+
+  private get hasRelay (): boolean {
+    return this.deps.clock.now() - this.relayToldAt < TOTALS_LIFE_MS
+  }
+
+  private sumUp (): void {
+    this.sums = addUp([...this.told.values()].map((told) => told.rows))
+  }
+
+  private totalsSince (position: number | undefined): types.Changes {
+    this.refreshTotals()
+    const rows: SumRow[] = []
+    for (const [key, total] of this.totals) {
+      if (total.position > (position ?? 0)) rows.push([key, total.first, total.second])
+    }
+    return { next: this.position, payload: { complete: position === undefined, rows } }
+  }
+
+  private refreshTotals (): void {
+    const now = this.deps.clock.now()
+    if (now - this.totalsAt < TOTALS_REUSE_MS) return
+    this.totalsAt = now
+    const current = this.hasRelay ? this.relayTotals : addUp([this.deps.ownRows(), ...[...this.told.values()].map((told) => told.rows)])
+    this.position++
+    for (const [key, figures] of current) {
+      const known = this.totals.get(key)
+      if (known?.first !== figures.first || known.second !== figures.second) this.totals.set(key, { ...figures, position: this.position })
+    }
+    for (const [key, total] of this.totals) {
+      if (!current.has(key) && (total.first !== 0 || total.second !== 0)) this.totals.set(key, { ...ZEROS, position: this.position })
+    }
+  }
+}
+
+function addUp (lists: ReadonlyArray<readonly SumRow[]>): Map<string, Figures> {
+  const sums = new Map<string, Figures>()
+  for (const rows of lists) {
+    for (const [key, first, second] of rows) {
+      const sum = sums.get(key) ?? ZEROS
+      sums.set(key, { first: sum.first + first, second: sum.second + second })
+    }
+  }
+  return sums
+}
+
+function toFigures (rows: readonly SumRow[]): Map<string, Figures> {
+  return new Map(rows.map(([key, first, second]) => [key, { first, second }]))
+}
+
+function toRows (sums: ReadonlyMap<string, Figures>): SumRow[] {
+  return [...sums].map(([key, sum]) => [key, sum.first, sum.second])
+}
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -7,7 +7,7 @@
 export { StageSpeeds } from './stage-speeds.js'
 export { FailureRecord, type AttemptOutcome } from './failure-record.js'
 export { FIRST_DEFERRED_PRIORITY, deferredPriority } from './priority.js'
-export { LoadRow, PeerLoad, type PeerLoadDeps } from './peer-load.js'
+export { PeerLoad, type LoadRow, type PeerLoadDeps } from './peer-load.js'
 export { CacheFeed, type CacheFeedDeps } from './cache-feed.js'
 export { CacheUpdates, type CacheRow } from './cache-updates.js'
 export { TargetList } from './target-list.js'
--- a/src/fleet/peer-load.ts
+++ b/src/fleet/peer-load.ts
@@ -1,161 +1,25 @@
 /** Load that other gateways put on targets, as the exchange between gateways tells it. */
-import * as z from 'zod'
-import type * as exchange from '../exchange/index.js'
-import type * as time from '../time/index.js'
-
-/** Age up to which the totals of the relay count, in ms. */
-const TOTALS_LIFE_MS = 1_000
-
-/** Time for which calculated totals are reused, in ms: a relay replies to many members. */
-const TOTALS_REUSE_MS = 20
+import * as exchange from '../exchange/index.js'
 
 /** Load on one target: the target's id, calls in flight, and prompt tokens still to be prefilled. */
-export const LoadRow = z.tuple([z.string(), z.int(), z.int()])
-export type LoadRow = z.infer<typeof LoadRow>
-
-/** `complete`: targets that are not listed have no load; otherwise their load is unchanged. */
-const LoadChanges = z.object({ complete: z.boolean(), rows: z.array(LoadRow) })
-
-interface Load {
-  readonly running: number
-  readonly prefillTokens: number
-}
+export type LoadRow = exchange.SumRow
 
-const NO_LOAD: Load = { running: 0, prefillTokens: 0 }
-
-/** A total, and the position at which it last changed. */
-interface Total extends Load {
-  readonly position: number
-}
-
-/** Dependencies of a {@link PeerLoad}. */
-export interface PeerLoadDeps {
-  readonly clock: time.Clock
-  /** Load of this gateway. */
-  readonly ownRows: () => readonly LoadRow[]
-}
+/** Dependencies of a {@link PeerLoad}: `ownRows` is the load of this gateway. */
+export type PeerLoadDeps = exchange.PeerSumsDeps
 
-/**
- * Sums the load of all gateways. A relay adds up what its members and the other relays tell it; a member gets the totals
- * of its relay, and subtracts what it has told itself.
- */
-export class PeerLoad implements exchange.Topic {
-  readonly name = 'load'
-  /** Rows of members and of fellow relays, by gateway. */
-  private readonly told = new Map<string, { readonly link: exchange.Link, readonly rows: readonly LoadRow[] }>()
-  /** Sums of {@link told}, by target. */
-  private sums = new Map<string, Load>()
-  /** Totals that the relay told, and when, on the monotonic clock. */
-  private readonly relayTotals = new Map<string, Load>()
-  private relayToldAt = -Infinity
-  /** Own rows in the last call to the relay, and in the last one that it replied to. */
-  private sentOwn = new Map<string, Load>()
-  private confirmedOwn = new Map<string, Load>()
-  /** Totals of all gateways with their last changes, for members. */
-  private totals = new Map<string, Total>()
-  private totalsAt = -Infinity
-  private position = 0
-
-  constructor (private readonly deps: PeerLoadDeps) {}
+/** Sums the load of all gateways. */
+export class PeerLoad extends exchange.PeerSums {
+  constructor (deps: PeerLoadDeps) {
+    super('load', deps)
+  }
 
   /** Calls of other gateways in flight at a target. */
   running (target: string): number {
-    return this.loadOf(target).running
+    return this.others(target).first
   }
 
   /** Prompt tokens of other gateways' calls that a target has still to prefill. */
   pendingPrefillTokens (target: string): number {
-    return this.loadOf(target).prefillTokens
-  }
-
-  changesSince (link: exchange.Link, position: number | undefined): exchange.Changes | undefined {
-    if (link.kind === 'member') return this.totalsSince(position)
-    const own = this.deps.ownRows()
-    if (link.kind === 'relay') this.sentOwn = toLoads(own)
-    const members = [...this.told.values()].filter((told) => told.link.kind === 'member')
-    const rows = members.length === 0 ? own : toRows(addUp([own, ...members.map((told) => told.rows)]))
-    return { next: ++this.position, payload: { complete: true, rows } }
-  }
-
-  apply (link: exchange.Link, payload: unknown): boolean {
-    const { complete, rows } = LoadChanges.parse(payload)
-    if (link.kind !== 'relay') {
-      this.told.set(link.gateway, { link, rows })
-      this.sumUp()
-      return true
-    }
-    if (complete) this.relayTotals.clear()
-    for (const [target, running, prefillTokens] of rows) {
-      if (running === 0 && prefillTokens === 0) this.relayTotals.delete(target)
-      else this.relayTotals.set(target, { running, prefillTokens })
-    }
-    this.confirmedOwn = this.sentOwn
-    this.relayToldAt = this.deps.clock.now()
-    return true
-  }
-
-  linkEnded (link: exchange.Link): void {
-    if (link.kind === 'relay') {
-      this.relayTotals.clear()
-      this.relayToldAt = -Infinity
-    } else if (this.told.delete(link.gateway)) this.sumUp()
+    return this.others(target).second
   }
-
-  private get hasRelay (): boolean {
-    return this.deps.clock.now() - this.relayToldAt < TOTALS_LIFE_MS
-  }
-
-  private loadOf (target: string): Load {
-    if (!this.hasRelay) return this.sums.get(target) ?? NO_LOAD
-    const total = this.relayTotals.get(target) ?? NO_LOAD
-    const own = this.confirmedOwn.get(target) ?? NO_LOAD
-    return { running: Math.max(0, total.running - own.running), prefillTokens: Math.max(0, total.prefillTokens - own.prefillTokens) }
-  }
-
-  private sumUp (): void {
-    this.sums = addUp([...this.told.values()].map((told) => told.rows))
-  }
-
-  private totalsSince (position: number | undefined): exchange.Changes {
-    this.refreshTotals()
-    const rows: LoadRow[] = []
-    for (const [target, total] of this.totals) {
-      if (total.position > (position ?? 0)) rows.push([target, total.running, total.prefillTokens])
-    }
-    return { next: this.position, payload: { complete: position === undefined, rows } }
-  }
-
-  private refreshTotals (): void {
-    const now = this.deps.clock.now()
-    if (now - this.totalsAt < TOTALS_REUSE_MS) return
-    this.totalsAt = now
-    const current = this.hasRelay ? this.relayTotals : addUp([this.deps.ownRows(), ...[...this.told.values()].map((told) => told.rows)])
-    this.position++
-    for (const [target, load] of current) {
-      const known = this.totals.get(target)
-      if (known?.running !== load.running || known.prefillTokens !== load.prefillTokens) this.totals.set(target, { ...load, position: this.position })
-    }
-    for (const [target, total] of this.totals) {
-      if (!current.has(target) && (total.running !== 0 || total.prefillTokens !== 0)) this.totals.set(target, { ...NO_LOAD, position: this.position })
-    }
-  }
-}
-
-function addUp (lists: ReadonlyArray<readonly LoadRow[]>): Map<string, Load> {
-  const sums = new Map<string, Load>()
-  for (const rows of lists) {
-    for (const [target, running, prefillTokens] of rows) {
-      const sum = sums.get(target) ?? NO_LOAD
-      sums.set(target, { running: sum.running + running, prefillTokens: sum.prefillTokens + prefillTokens })
-    }
-  }
-  return sums
-}
-
-function toLoads (rows: readonly LoadRow[]): Map<string, Load> {
-  return new Map(rows.map(([target, running, prefillTokens]) => [target, { running, prefillTokens }]))
-}
-
-function toRows (loads: ReadonlyMap<string, Load>): LoadRow[] {
-  return [...loads].map(([target, load]) => [target, load.running, load.prefillTokens])
 }
