Quotas of client accounts: divided token bucket, borrowing of credit, check after authorization

Cause: no quota was kept; an account executed 1,402,281 tokens in 8 s where 1,381,004 are allowed. Ruled out: copies of one bucket corrected by totals (see docs/design/quotas.md).

--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -21,6 +21,16 @@
   readonly segments: readonly PromptSegment[]
 }
 
+/** Credit that a call has taken from the quota of its account. */
+export interface CallCredit {
+  /** Whether the call may still be sent; borrowed credit expires. */
+  readonly isValid: boolean
+  /** Notes that the call is about to be written to a target; false when its credit has expired and nothing may be sent. */
+  mayWrite (): boolean
+  /** Notes that a send which `mayWrite` allowed was not executed. */
+  noteNotExecuted (): void
+}
+
 /** A caller's request. */
 export interface Call {
   /** Request id that the caller chose for this attempt; empty when it sent none. */
@@ -55,6 +65,8 @@
    * is too old to tell; undefined when the call may be sent.
    */
   readonly checkAuthorization: () => errors.Refusal | undefined
+  /** Absent when the account has no quota. */
+  readonly credit?: CallCredit | undefined
 }
 
 /** Source of a KV transfer: the target that prefilled a prompt, and the handle of its KV cache there. */
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -55,6 +55,7 @@
 export class Directory implements AsyncDisposable {
   private task: time.RepeatingTask | undefined
   private registration: external.StoredObject | undefined
+  private listedBefore = false
   private startedAt = -Infinity
   private readAt = -Infinity
   /** Versions of malformed records that were logged. */
@@ -85,6 +86,16 @@
     return this.sampleAddresses(registeredAddresses)
   }
 
+  /** Whether this gateway is registered; it has read the list then. */
+  get isRegistered (): boolean {
+    return this.registration !== undefined
+  }
+
+  /** Whether the list named this gateway before this process registered, so that the others counted it already. */
+  get wasListed (): boolean {
+    return this.listedBefore
+  }
+
   /** Names of the gateways that are up, including this one. */
   gatewayNames (): string[] {
     return [this.deps.self.name, ...this.deps.roster.upWithin(0).map((record) => record.name)]
@@ -181,6 +192,7 @@
     const { self } = this.deps
     if (record === undefined) this.noteMalformed(object)
     else if (record.name === self.name && record.incarnation === self.incarnation) this.registration ??= object
+    else if (record.name === self.name) this.listedBefore = true
     return record
   }
 
--- a/src/errors/reasons.ts
+++ b/src/errors/reasons.ts
@@ -13,7 +13,7 @@
 export const REFUSAL_REASONS = [
   'malformed_request', 'request_too_large', 'headers_too_large', 'request_too_slow', 'unknown_route', 'unknown_model', 'method_not_allowed',
   'key_missing', 'key_invalid', 'key_withdrawn', 'key_state_unknown', 'route_state_unknown',
-  'account_queue_full', 'service_queue_full', 'entry_queue_full', 'deadline_unreachable', 'deadline_exceeded',
+  'quota_exceeded', 'account_queue_full', 'service_queue_full', 'entry_queue_full', 'deadline_unreachable', 'deadline_exceeded',
   'idempotency_key_missing', 'idempotency_key_invalid', 'idempotency_key_expired', 'idempotency_key_reused',
   'claim_store_unavailable', 'claim_in_progress', 'outcome_unknown',
   'no_target', 'target_unavailable', 'target_failed', 'retry_budget_exhausted', 'segment_quarantined',
--- a/src/errors/refusal.ts
+++ b/src/errors/refusal.ts
@@ -60,6 +60,7 @@
   key_missing: 401,
   key_invalid: 401,
   key_withdrawn: 401,
+  quota_exceeded: 429,
   account_queue_full: 429,
   service_queue_full: 429,
   deadline_exceeded: 504,
--- a/src/exchange/roster.ts
+++ b/src/exchange/roster.ts
@@ -143,6 +143,11 @@
     return [...this.entries.values()].filter((entry) => entry.told.ready && this.isUp(entry)).map((entry) => entry.told.record)
   }
 
+  /** Gateways that are up, and that this one or its relay has heard of. */
+  inContact (): types.GatewayRecord[] {
+    return [...this.entries.values()].filter((entry) => entry.told.beat >= 0 && this.isUp(entry)).map((entry) => entry.told.record)
+  }
+
   /** Gateways that are up, or were until `ms` ago. */
   upWithin (ms: number): types.GatewayRecord[] {
     const now = this.now()
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -94,6 +94,8 @@
   private paused = false
   private stallTimer: Disposable | undefined
   private finish: ((result: AttemptResult) => void) | undefined
+  /** Whether the credit of the call was taken for this send. */
+  private creditTaken = false
   private readonly replacementTimeouts: stallTimeouts.StallTimeouts
   private readonly splitter: eventStream.EventSplitter
 
@@ -171,11 +173,19 @@
   // The target may have left, or turned requests away, while this one waited for a connection.
   mayWrite (): boolean {
     const now = this.deps.env.clock.now()
-    if (this.spec.state.isBarred(now)) return false
+    if (this.spec.state.isBarred(now) || !this.takesCredit()) return false
     this.writeMs = Math.round(now - this.sentAt)
     return true
   }
 
+  // What a target executes after a prefill elsewhere was paid for with the prefill.
+  private takesCredit (): boolean {
+    const { call, plan } = this.spec
+    if (call.credit === undefined || plan.kvSource !== undefined) return true
+    this.creditTaken = call.credit.mayWrite()
+    return this.creditTaken
+  }
+
   onHead (status: number, headers: upstream.ResponseHeaders): void {
     this.noteByte()
     const { state, stream } = this.spec
@@ -357,6 +367,7 @@
   private settle (result: AttemptResult): void {
     const finish = this.finish
     this.finish = undefined
+    if (finish !== undefined && this.creditTaken && result.kind === 'not_run') this.spec.call.credit?.noteNotExecuted()
     finish?.(result)
   }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,6 +2,7 @@
 import type * as calls from '../call/index.js'
 import * as errors from '../errors/index.js'
 import type * as forward from '../forward/index.js'
+import type * as quota from '../quota/index.js'
 import * as serving from '../serving/index.js'
 import * as time from '../time/index.js'
 import * as runningCalls from './running-calls.js'
@@ -35,6 +36,7 @@
   readonly env: time.Env
   readonly feed: serving.ConfigFeed
   readonly forwarder: forward.Forwarder
+  readonly quotas: Pick<quota.Quotas, 'admit' | 'end' | 'refuseExpired'>
   readonly bounds: GatewayBounds
   /** Deadline of the calls that arrive while this process stops, on the monotonic clock; undefined while it is not stopping. */
   readonly callsEndAt: (streaming: boolean) => number | undefined
@@ -53,8 +55,11 @@
     if (this.deps.refusing()) return refusal('entry_stopping', 'parse', RETRY_AFTER_MS)
     const authorized = await this.authorize(req)
     if (authorized instanceof errors.Refusal) return authorized
-    const call = this.createCall(req, body, authorized, arrivedAt)
-    return await this.running.run(reply, signal, async (ending) => await this.deps.forwarder.forward(call, reply, ending))
+    const credit = await this.takeCredit(req, authorized)
+    if (credit instanceof errors.Refusal) return credit
+    const call = this.createCall(req, body, authorized, arrivedAt, credit)
+    const run = this.running.run(reply, signal, async (ending) => await this.deps.forwarder.forward(call, reply, ending))
+    return credit === undefined ? await run : await this.returnCredit(credit, run)
   }
 
   /** Ends the calls whose response has not started; streams that have begun go on. */
@@ -67,6 +72,21 @@
     return this.deps.feed.current() !== undefined && this.deps.feed.freshness.ageMs <= this.deps.bounds.keyRevocationMs * KEY_STALENESS_SHARE
   }
 
+  private async takeCredit ({ prompt }: types.CallerReq, { account }: AuthorizedRequest): Promise<quota.ChargedCall | errors.Refusal | undefined> {
+    if (account?.quota === undefined) return undefined
+    return await this.deps.quotas.admit(account.name, prompt === undefined ? undefined : prompt.promptTokens + prompt.outputTokens)
+  }
+
+  private async returnCredit (credit: quota.ChargedCall, run: Promise<errors.Refusal | undefined>): Promise<errors.Refusal | undefined> {
+    let refusal: errors.Refusal | undefined
+    try {
+      refusal = await run
+      return refusal
+    } finally {
+      this.deps.quotas.end(credit, refusal?.reason)
+    }
+  }
+
   private async authorize (req: types.CallerReq): Promise<AuthorizedRequest | errors.Refusal> {
     const outcome = this.check(req)
     if (!(outcome instanceof errors.Refusal) || !isFinal(outcome)) return outcome
@@ -102,7 +122,7 @@
     return undefined
   }
 
-  private createCall (req: types.CallerReq, body: Uint8Array, authorized: AuthorizedRequest, arrivedAt: number): calls.Call {
+  private createCall (req: types.CallerReq, body: Uint8Array, authorized: AuthorizedRequest, arrivedAt: number, credit: quota.ChargedCall | undefined): calls.Call {
     const { route, service, configVersion, account, key } = authorized
     return {
       id: req.id,
@@ -119,9 +139,14 @@
       deadlineAt: Math.min(arrivedAt + waitMsOf(req, route), this.deps.callsEndAt(route.streaming) ?? Infinity),
       prompt: req.prompt,
       resumeAfter: req.resumeAfter,
-      checkAuthorization: () => key === undefined || account === undefined ? undefined : this.checkKey(key, account.name)
+      credit,
+      checkAuthorization: () => key === undefined || account === undefined ? undefined : this.checkKey(key, account.name) ?? this.checkCredit(credit, account.name)
     }
   }
+
+  private checkCredit (credit: quota.ChargedCall | undefined, account: string): errors.Refusal | undefined {
+    return credit === undefined || credit.isValid ? undefined : this.deps.quotas.refuseExpired(account, credit.cost)
+  }
 }
 
 interface AuthorizedRequest {
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -11,6 +11,7 @@
 import * as peer from '../peer/index.js'
 import * as placement from '../placement/index.js'
 import * as quarantine from '../quarantine/index.js'
+import * as quota from '../quota/index.js'
 import * as retry from '../retry/index.js'
 import * as serving from '../serving/index.js'
 import * as time from '../time/index.js'
@@ -49,6 +50,8 @@
     /** Time within which lease holders must not alternate, in ms. */
     readonly takeoverDelayMs: number
     readonly usageWindowMs: number
+    /** Bounds on what the accounts with a quota may execute. */
+    readonly quota: quota.QuotaBounds
   }
 }
 
@@ -82,6 +85,7 @@
   private readonly roster: exchange.Roster
   private readonly exchange: exchange.Exchange
   private readonly directory: directory.Directory
+  private readonly quotas: quota.Quotas
   private readonly gateway: gateway.Gateway
   private readonly frontend: httpFrontend.HttpFrontend
   private readonly lease: duties.Lease
@@ -109,7 +113,9 @@
     this.usageLedger = new duties.UsageLedger({ env, store, eras: deps.eras, name: `${settings.name}.${settings.incarnation}`, windowMs, isRelay, log })
     this.quarantine = new quarantine.SegmentQuarantine({ clock: env.clock, selfName: settings.name, gateways: () => this.directory.gatewayNames(), log })
     this.quarantineRecords = new quarantine.QuarantineRecords({ env, store, eras: deps.eras, quarantine: this.quarantine, log })
-    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine]
+    this.quotas = new quota.Quotas({ env, elapsed: this.elapsed, bounds: settings.bounds.quota, peers: this.peers, gateways: () => this.knownGateways(), log, metrics })
+    this.feed.onChange((config) => this.quotas.applyConfig(config.accounts ?? []))
+    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.usageLedger, this.quarantine, this.quotas.topic]
     this.exchange = new exchange.Exchange({ env, elapsed: this.elapsed, peers: this.peers, self, roster: this.roster, topics, ready: () => this.ready, log })
     this.directory = new directory.Directory({ env, store, eras: deps.eras, self, roster: this.roster, isRelay, ready: () => this.ready, log })
     this.cacheFeed = this.createCacheFeed()
@@ -136,6 +142,7 @@
     this.listening = true
     this.directory.start()
     this.exchange.start()
+    this.quotas.start()
     this.lease.start()
     this.usageLedger.start()
     this.usageCloser.start()
@@ -165,7 +172,7 @@
   async [Symbol.asyncDispose] (): Promise<void> {
     const { env } = this.deps
     this.beginStop()
-    for (const task of [this.usageCloser, this.targetOrders, this.feed, this.fleetFeed, this.cacheFeed, this.quarantineRecords, this.exchange, this.pool]) task[Symbol.dispose]()
+    for (const task of [this.usageCloser, this.targetOrders, this.feed, this.fleetFeed, this.cacheFeed, this.quarantineRecords, this.exchange, this.quotas, this.pool]) task[Symbol.dispose]()
     await time.withTimeout(env.timers, RELEASE_TIMEOUT_MS, this.releaseLeaseAndDeregister(), () => undefined)
     await this.usageLedger[Symbol.asyncDispose]()
     await this.frontend[Symbol.asyncDispose]()
@@ -217,6 +224,15 @@
     return { name, incarnation, domain, front: `${callerHost}:${callerPort}`, peer: `${peerHost}:${peerPort}` }
   }
 
+  private knownGateways (): quota.Gateways {
+    return {
+      known: 1 + this.roster.all().length,
+      inContact: this.roster.inContact(),
+      registered: this.directory.isRegistered,
+      wasListed: this.directory.wasListed
+    }
+  }
+
   private createCacheFeed (): fleet.CacheFeed {
     const { env, settings, targetProtocol, log } = this.deps
     const gateways = (): readonly string[] => this.directory.gatewayNames()
@@ -250,7 +266,7 @@
       dropIdleConnections: (address) => this.pool.dropIdleConnections(address)
     })
     const callsEndAt = (streaming: boolean): number | undefined => streaming ? this.stopTimes?.responsesEndAt : this.stopTimes?.callsEndAt
-    return new gateway.Gateway({ env, feed: this.feed, forwarder, bounds: settings.bounds, callsEndAt, refusing: () => this.refusing })
+    return new gateway.Gateway({ env, feed: this.feed, forwarder, quotas: this.quotas, bounds: settings.bounds, callsEndAt, refusing: () => this.refusing })
   }
 
   private budgetFor (service: string): retry.SharedRetryBudget {
--- a/src/serving/index.ts
+++ b/src/serving/index.ts
@@ -1,6 +1,6 @@
 /** The configuration that a gateway serves under, and its freshness. */
 export type {
-  CallerLimits, EngineLimits, OrderLimits, Idempotency, RouteShare, ServingAccount, ServingConfig, ServingRoute, ServingService, Stage, TargetRecord
+  AccountQuota, CallerLimits, EngineLimits, OrderLimits, Idempotency, RouteShare, ServingAccount, ServingConfig, ServingRoute, ServingService, Stage, TargetRecord
 } from './types.js'
 export { RouteTable, pickService } from './route-table.js'
 export { ElapsedClock } from './elapsed-clock.js'
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -70,12 +70,26 @@
   readonly orders?: OrderLimits | undefined
 }
 
+/** What a client account may execute over all gateways together. */
+export interface AccountQuota {
+  /** What is counted: requests, or the tokens that calls declare. */
+  readonly unit: 'requests' | 'tokens'
+  /** Units per ms. */
+  readonly ratePerMs: number
+  /** Units that may be executed at once. */
+  readonly burst: number
+  /** Tokens that a call without declared counts counts as. */
+  readonly plainTokens: number
+}
+
 /** A client account with its keys. */
 export interface ServingAccount {
   readonly name: string
   readonly keys: readonly string[]
   /** Overrides the priority of the route; 0 is the most urgent. */
   readonly priority?: number | undefined
+  /** Absent for no limit. */
+  readonly quota?: AccountQuota | undefined
 }
 
 /** Limits on the size and the sending time of a caller's request. */
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -23,7 +23,7 @@
   const feed = new serving.ConfigFeed({ isReader: () => true, propagationMs: 2_000, env, elapsed: new serving.ElapsedClock(virtual), store, eras: store.eras, key: KEY, decode, log: log.SILENT_LOGGER, metrics: new metrics.Metrics() })
   const forwarded: string[] = []
   const forwarder = { forward: async (call: { account?: string, checkAuthorization: () => errors.Refusal | undefined }) => { forwarded.push(call.account ?? 'open'); return call.checkAuthorization() } } as unknown as forward.Forwarder
-  const subject = new gateway.Gateway({ env, feed, forwarder, bounds: { keyRevocationMs: 5_000, configPropagationMs: 2_000 }, callsEndAt: () => undefined, refusing: () => false })
+  const subject = new gateway.Gateway({ env, feed, forwarder, quotas: { admit: () => undefined, end: () => {}, refuseExpired: () => { throw new Error('no quota') } }, bounds: { keyRevocationMs: 5_000, configPropagationMs: 2_000 }, callsEndAt: () => undefined, refusing: () => false })
   const write = async (text: string): Promise<void> => { await Promise.all([store.put(KEY, JSON.stringify(text).slice(1, -1), store.peek(KEY)?.version ?? 'absent'), virtual.advance(10)]) }
   const handle = async (req: gateway.CallerReq): Promise<string> => {
     const outcome = subject.handle(req, new Uint8Array(0), new build.RecordedReply(), new AbortController().signal)
--- a/test/support/gateway-process.ts
+++ b/test/support/gateway-process.ts
@@ -64,7 +64,7 @@
         callerPort: this.callerPort,
         peerHost: HOST,
         peerPort: ports[1]!,
-        bounds: { keyRevocationMs: 5_000, leavePropagationMs: 2_000, targetExpiryMs: 2_400, configPropagationMs: 2_000, retryLimits: { ratio: 0.2, slack: 50, windowMs: 10_000 }, graceMs, takeoverDelayMs: 3_000, usageWindowMs: 5_000 }
+        bounds: { keyRevocationMs: 5_000, leavePropagationMs: 2_000, targetExpiryMs: 2_400, configPropagationMs: 2_000, retryLimits: { ratio: 0.2, slack: 50, windowMs: 10_000 }, graceMs, takeoverDelayMs: 3_000, usageWindowMs: 5_000, quota: { windowMs: 8_000, overage: 0, slackTokens: 0 } }
       },
       env: time.systemEnv(),
       store: this.store,
