--- a/src/quota/account-credit.ts
+++ b/src/quota/account-credit.ts
@@ -9,6 +9,10 @@
 const BORROW_AHEAD_MS = 250
 const KEEP_MS = 200
 
+/** Time constants of the average demand, in ms. A single call must not make the demand of a gateway with few calls look large for long. */
+const DEMAND_AVERAGING_MS = 1_000
+const LONG_AVERAGING_MS = 8_000
+
 /** Part of a share below which others are not asked to lend from it. */
 const MIN_FREE_PART = 0.05
 
@@ -49,7 +53,8 @@
 /** Decides what calls of one account may do. */
 export class AccountCredit {
   readonly bucket: shareBucket.ShareBucket
-  private readonly demand = new demandRate.DemandRate()
+  private readonly demand = new demandRate.DemandRate(DEMAND_AVERAGING_MS)
+  private readonly longDemand = new demandRate.DemandRate(LONG_AVERAGING_MS)
   private readonly retries = new retryLine.RetryLine()
   private limit: limits.Limit
   private shares = 1
@@ -80,6 +85,7 @@
   /** Notes the arrival of a call. */
   noteDemand (cost: number): void {
     this.demand.add(cost, this.now())
+    this.longDemand.add(cost, this.now())
   }
 
   /** Units per ms that arrive at this gateway. */
@@ -102,15 +108,15 @@
 
   /** Units to borrow before calls need them: for an account whose demand here exceeds the refill of the share. */
   missingAhead (others: Others): number {
-    const demandPerMs = Math.min(this.demandPerMs, this.limit.ratePerMs)
-    if (demandPerMs * this.shares <= this.limit.ratePerMs) return 0
-    const missing = demandPerMs * BORROW_AHEAD_MS - this.bucket.available
+    const usePerMs = this.usePerMs(others)
+    if (usePerMs * this.shares <= this.limit.ratePerMs) return 0
+    const missing = usePerMs * BORROW_AHEAD_MS - this.bucket.available
     return missing > 0 && this.mayBorrow(0, others) ? missing : 0
   }
 
   /** Lends up to `want` units. */
-  lend (want: number): number {
-    return this.bucket.lend(want, this.demandPerMs * KEEP_MS)
+  lend (want: number, others: Others): number {
+    return this.bucket.lend(want, this.usePerMs(others) * KEEP_MS)
   }
 
   /** Notes whether a round of borrowing gave what was asked for; after one that did not, there is a pause. */
@@ -123,9 +129,9 @@
   retryAfterMs (cost: number, others: Others, draw: number): number {
     const missing = cost - this.bucket.available - this.freePerLender(others) * others.lenders
     const ratePerMs = this.limit.ratePerMs * Math.min(1, (others.lenders + 1) / this.shares)
-    if (missing <= 0) return ELSEWHERE_MIN_MS + ELSEWHERE_RANGE_MS * draw
-    const ownPart = this.demandPerMs / Math.max(this.demandPerMs + others.demandPerMs, Number.MIN_VALUE)
-    return this.retries.next(cost, ratePerMs * ownPart, missing / ratePerMs, draw, this.now())
+    if (missing <= 0 && this.demandPerMs + others.demandPerMs <= ratePerMs) return ELSEWHERE_MIN_MS + ELSEWHERE_RANGE_MS * draw
+    const waitMs = Math.max(ELSEWHERE_MIN_MS, missing / ratePerMs)
+    return this.retries.next(cost, ratePerMs * partOf(this.longDemand.at(this.now()), others), waitMs, draw, this.now())
   }
 
   /** Notes a refusal; true when it is the first one of a limited period. */
@@ -147,6 +153,11 @@
     return period
   }
 
+  /** Units per ms that calls here can use: at an account that exceeds its rate, this gateway's part of the rate. */
+  private usePerMs (others: Others): number {
+    return Math.min(this.demandPerMs, this.limit.ratePerMs * partOf(this.demandPerMs, others))
+  }
+
   private freePerLender ({ lenders, used }: Others): number {
     return lenders === 0 ? 0 : Math.max(0, this.bucket.depth - used / lenders)
   }
@@ -155,3 +166,8 @@
     return this.clocks.monotonic.now()
   }
 }
+
+/** Part of an account's demand that arrives at this gateway. */
+function partOf (ownPerMs: number, { demandPerMs }: Others): number {
+  return ownPerMs / Math.max(ownPerMs + demandPerMs, Number.MIN_VALUE)
+}
--- a/src/quota/credit-requests.ts
+++ b/src/quota/credit-requests.ts
@@ -35,6 +35,7 @@
   readonly candidates: () => readonly lenders.Lender[]
   /** The credit of an account with a quota. */
   readonly creditOf: (account: string) => accountCredit.AccountCredit | undefined
+  readonly othersOf: (account: string) => accountCredit.Others
   readonly log: log.Logger
   readonly metrics: metrics.Metrics
 }
@@ -81,7 +82,7 @@
 
   private lend ({ account, want, ...quota }: CreditReq): number {
     const credit = this.deps.creditOf(account)
-    return credit === undefined || !isSame(credit.quota, quota) ? 0 : credit.lend(want)
+    return credit === undefined || !isSame(credit.quota, quota) ? 0 : credit.lend(want, this.deps.othersOf(account))
   }
 
   private now (): number {
--- a/src/quota/quotas.ts
+++ b/src/quota/quotas.ts
@@ -57,7 +57,7 @@
     this.startedAt = env.clock.now()
     this.shares = new shareCount.ShareCount(deps.bounds.windowMs)
     this.topic = new quotaTopic.QuotaTopic({ clock: env.clock, ownRows: () => this.ownRows() })
-    this.requests = new creditRequests.CreditRequests({ env, clocks: this.clocks, peers, candidates: () => this.inContact, creditOf: (account) => this.accounts.get(account)?.credit, log, metrics })
+    this.requests = new creditRequests.CreditRequests({ env, clocks: this.clocks, peers, candidates: () => this.inContact, creditOf: (account) => this.accounts.get(account)?.credit, othersOf: (account) => this.othersOf(account), log, metrics })
   }
 
   /** Starts to follow the other gateways. */
--- a/src/quota/share-bucket.ts
+++ b/src/quota/share-bucket.ts
@@ -98,8 +98,11 @@
     return { own: cost, borrowed: 0, expiresAt: Infinity, written: this.inTransit.add(cost, this.clocks.monotonic.now()) }
   }
 
-  /** Replaces the expired part of a charge; false when there is not enough credit for that. */
+  /** Replaces the expired part of a charge; false when there is not enough credit for that, or the share has become too small. */
   renew (charge: Charge): boolean {
+    this.refill()
+    // Calls that were admitted before the quota was lowered: the excess is not sent.
+    if (charge.own > 0 && this.waiting > this.limit.depth) return false
     if (charge.borrowed === 0 || this.clocks.elapsed.now() < charge.expiresAt) return true
     const renewed = this.take(charge.borrowed)
     if (renewed === undefined) return false
