--- a/src/quota/share-bucket.ts
+++ b/src/quota/share-bucket.ts
@@ -150,10 +150,9 @@
   receive (amount: number, expiresAt: number): void {
     this.refill()
     if (this.clocks.elapsed.now() >= expiresAt) return
-    const kept = Math.max(0, Math.min(amount, this.limit.depth - this.held - this.level))
-    this.level += kept
-    if (amount > kept) this.borrowed.push({ amount: amount - kept, expiresAt })
+    this.borrowed.push({ amount, expiresAt })
     this.borrowed.sort((a, b) => a.expiresAt - b.expiresAt)
+    this.keepBorrowed()
   }
 
   private get held (): number {
@@ -164,11 +163,19 @@
     const now = this.clocks.monotonic.now()
     this.inTransit.release(now)
     this.lent.release(now)
+    this.keepBorrowed()
     this.level += this.limit.ratePerMs * Math.max(0, now - this.refilledAt)
     this.refilledAt = now
     this.capLevel()
+  }
+
+  /** Moves borrowed credit into the share as far as it fits, before it expires. */
+  private keepBorrowed (): void {
+    if (this.borrowed.length === 0) return
     const elapsed = this.clocks.elapsed.now()
-    if (this.borrowed.length > 0) this.borrowed = this.borrowed.filter((part) => elapsed < part.expiresAt)
+    this.borrowed = this.borrowed.filter((part) => elapsed < part.expiresAt)
+    const room = Math.max(0, this.limit.depth - this.held - this.level)
+    this.level += this.takeBorrowed(room).amount
   }
 
   private capLevel (): void {
--- a/test/support/quota-region.ts
+++ b/test/support/quota-region.ts
@@ -38,11 +38,8 @@
   readonly leaves?: boolean
 }
 
-/** What became of calls. */
-export interface Outcomes {
-  admitted: number
-  refused: number
-  readonly retryAfterMs: number[]
+export function aQuota (ratePerS: number, burst = ratePerS): serving.AccountQuota {
+  return { unit: 'tokens', ratePerMs: ratePerS / 1_000, burst, plainTokens: 200 }
 }
 
 export class QuotaGateway {
@@ -109,16 +106,13 @@
   }
 
   /** Sends a call through this gateway. */
-  async run (tokens: number, course: CallCourse, outcomes: Outcomes): Promise<void> {
-    const admitted = await this.quotas.admit(ACCOUNT, tokens)
-    if (admitted instanceof errors.Refusal) {
-      outcomes.refused++
-      outcomes.retryAfterMs.push(admitted.detail.retryAfterMs!)
-      return
+  run (tokens: number, course: CallCourse = {}): void {
+    const admit = async (): Promise<void> => {
+      const admitted = await this.quotas.admit(ACCOUNT, tokens)
+      if (admitted instanceof errors.Refusal) this.region.refusals.push(admitted.detail.retryAfterMs!)
+      else if (admitted !== undefined) this.region.virtual.after(course.waitMs ?? 0, () => this.do(() => this.send(admitted, tokens, course)))
     }
-    outcomes.admitted++
-    if (admitted === undefined) this.region.execute(tokens)
-    else this.region.virtual.after(course.waitMs ?? 0, () => this.do(() => this.send(admitted, tokens, course)))
+    admit().catch((err: unknown) => { throw err })
   }
 
   private send (credit: quota.ChargedCall, tokens: number, course: CallCourse): void {
@@ -171,6 +165,8 @@
   /** Names in the store's list. */
   readonly listed = new Set<string>()
   readonly executions: Execution[] = []
+  /** Retry-after of the refused calls, in ms. */
+  readonly refusals: number[] = []
   /** Side of a partition, by name. */
   readonly sides = new Map<string, number>()
   lossRate = 0
