Tests of the quotas over the real exchange, roster and directory, in place of a simulated one; wiring test; decoding test

gateway-region.ts can now delay and lose messages and suspend processes. Calls that are lost end with the timeout of their caller as before.

--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -54,6 +54,16 @@
   })
 })
 
+describe('quotas', () => {
+  it('are decoded per ms; without a rate there is none, and without a unit they count requests', () => {
+    const tenants = [{ ratePerS: 5_000, burst: 9_000, unit: 'tokens', plainTokens: 200 }, { ratePerS: 0, burst: 9 }, { ratePerS: 4, burst: 8 }, {}].map((fields, index) => ({ name: `t${index}`, apiKeys: [], ...fields }))
+    const text = JSON.stringify({ version: 7, routes: [], services: [], limits: { maxHeaderBytes: 1, maxBodyBytes: 2, headerTimeoutMs: 3, idleTimeoutMs: 4 }, tenants })
+    chai.expect(servingConfig.decodeConfig(text).accounts!.map(({ quota }) => quota)).to.deep.equal([
+      { unit: 'tokens', ratePerMs: 5, burst: 9_000, plainTokens: 200 }, undefined, { unit: 'requests', ratePerMs: 0.004, burst: 8, plainTokens: 0 }, undefined
+    ])
+  })
+})
+
 describe('requests of callers', () => {
   it('cannot set headers that only the gateway may set, and their key is not forwarded', () => {
     const req = new callerProtocol.HttpCallerProtocol().decode(request({
--- a/test/quota/bound.test.ts
+++ b/test/quota/bound.test.ts
@@ -2,7 +2,8 @@
 import * as chai from 'chai'
 import * as fc from 'fast-check'
 import * as quota from '../../src/quota/index.js'
-import * as region from '../support/quota-region.js'
+import type * as gatewayRegion from '../support/gateway-region.js'
+import * as quotaSite from '../support/quota-site.js'
 
 const SEED = 20_261_206
 const RUNS = 80
@@ -14,6 +15,12 @@
 /** Share of the calls of an account within its quota that is refused at most. */
 const MAX_REFUSED_SHARE = 0.02
 
+/** Share of them that waits for credit of other gateways at most. */
+const MAX_WAITING_SHARE = 0.3
+
+/** Requests for credit that a gateway sends per second at most, on average, for an account that exceeds its quota everywhere. */
+const MAX_CREDIT_REQUESTS_PER_S = 30
+
 /** Rate at which calls of the largest size cost more than a gateway's share of the bucket. */
 const RATE_PER_S = 120_000
 
@@ -51,38 +58,35 @@
 })
 
 class Scenario {
-  readonly site: region.QuotaRegion
+  readonly site: quotaSite.QuotaSite
   private readonly changes: Array<{ readonly limit: number, readonly atMs: number }> = []
-  ratePerS = 0
+  private ratePerS = 0
 
   constructor (private readonly bounds: quota.QuotaBounds) {
-    this.site = new region.QuotaRegion(bounds)
+    this.site = new quotaSite.QuotaSite(bounds, 5)
   }
 
   change (ratePerS: number, burst = ratePerS): void {
     this.ratePerS = ratePerS
-    const accountQuota = region.aQuota(ratePerS, burst)
-    this.changes.push({ limit: quota.windowLimit(accountQuota, this.bounds), atMs: this.site.virtual.now() })
+    const accountQuota = quotaSite.aQuota(ratePerS, burst)
+    this.changes.push({ limit: quota.windowLimit(accountQuota, this.bounds), atMs: this.site.region.virtual.now() })
     this.site.setQuota(accountQuota, this.changes.length === 1 ? 0 : CONFIG_APPLY_MS)
   }
 
   apply ({ kind, gateway: index, forMs }: Fault): void {
-    const { site } = this
+    const { site, site: { region } } = this
     const name = `g${index}`
-    const gateway = site.gateways.get(name)
-    const later = (fn: () => void): void => { site.virtual.after(forMs, fn) }
-    const part = (names: readonly string[]): void => {
-      for (const each of names) site.sides.set(each, 1)
-      later(() => { for (const each of names) site.sides.delete(each) })
-    }
+    const gateway = region.gateways.get(name)
+    const names = [...region.gateways.keys()]
+    const later = (fn: () => void): void => { region.virtual.after(forMs, fn) }
     switch (kind) {
-      case 'kill': return this.kill(name, forMs)
-      case 'killAll': return [...site.gateways.keys()].forEach((each) => this.kill(each, forMs / 4))
-      case 'split': return part([...site.gateways.keys()].filter((_, position) => position % 2 === 0))
-      case 'cut': return part([name])
+      case 'kill': return site.restart(name, forMs)
+      case 'killAll': return names.forEach((each) => site.restart(each, forMs / 4))
+      case 'split': return this.part(names.filter((_, position) => position % 2 === 0), later)
+      case 'cut': return this.part([name], later)
       case 'suspend': gateway?.suspend(); return later(() => gateway?.resume())
-      case 'lose': site.lossRate = 0.4; return later(() => { site.lossRate = 0 })
-      case 'slow': site.maxDelayMs = 400; return later(() => { site.maxDelayMs = 20 })
+      case 'lose': region.lossRate = 0.4; return later(() => { region.lossRate = 0 })
+      case 'slow': region.transitMs = () => 20 + 180 * region.random.next(); return later(() => { region.transitMs = () => 2 })
       case 'join': if (gateway === undefined) site.start(name); return
       case 'lower': return this.change(this.ratePerS / 4)
       case 'raise': return this.change(this.ratePerS * 2)
@@ -91,11 +95,11 @@
 
   /** Sends the calls of one step. */
   send ({ gateway, rates, part, course }: Omit<Load, 'atMs' | 'forMs'>): void {
-    const tokens = part * this.ratePerS
-    const receivers = [...this.site.gateways.values()].filter((each) => gateway === null || each.index === gateway)
-    for (let calls = rates / part * STEP_MS / 1_000; calls > this.site.random.next(); calls--) {
-      const receiver = receivers[Math.floor(this.site.random.next() * receivers.length)]
-      receiver?.do(() => receiver.run(tokens, course))
+    const { region: { random } } = this.site
+    const receivers = this.site.gateways.filter((each) => gateway === null || each.name === `g${gateway}`)
+    for (let calls = rates / part * STEP_MS / 1_000; calls > random.next(); calls--) {
+      const receiver = receivers[Math.floor(random.next() * receivers.length)]
+      if (receiver !== undefined) this.site.run(receiver, part * this.ratePerS, course)
     }
   }
 
@@ -114,21 +118,28 @@
     }
   }
 
-  private kill (name: string, forMs: number): void {
-    const gateway = this.site.gateways.get(name)
-    if (gateway?.alive !== true) return
-    gateway.alive = false
-    this.site.virtual.after(forMs, () => { if (this.site.gateways.get(name) === gateway) this.site.start(name) })
+  private part (side: readonly string[], later: (fn: () => void) => void): void {
+    const { cuts, gateways } = this.site.region
+    const others = [...gateways.keys()].filter((name) => !side.includes(name))
+    const pairs = side.flatMap((name) => others.flatMap((other) => [`${name}>${other}`, `${other}>${name}`]))
+    for (const pair of pairs) cuts.add(pair)
+    later(() => { for (const pair of pairs) cuts.delete(pair) })
   }
 }
 
+function startAll () {
+  const site = new quotaSite.QuotaSite({ windowMs: 8_000, overage: 0.1, slackTokens: 190_000 }, 31)
+  site.setQuota(quotaSite.aQuota(RATE_PER_S))
+  const at = (index: number): gatewayRegion.RegionGateway => site.region.gateways.get(`g${index}`)!
+  return { site, at, virtual: site.region.virtual, random: site.region.random }
+}
+
 describe('Quotas', () => {
   it('execute no more than the bound in any window, under delay, loss, partitions, kills, starts, suspensions and changes', async function () {
     this.timeout(240_000)
     await fc.assert(fc.asyncProperty(scenario, async ({ burstS, slackTokens, quietMs, hotGateway, faults, loads }) => {
       const trial = new Scenario({ windowMs: 8_000, slackTokens, overage: slackTokens === 0 ? 0 : 0.1 })
-      const { virtual } = trial.site
-      trial.site.startMany(5)
+      const { virtual } = trial.site.region
       trial.change(20_000, 20_000 * burstS)
       for (const each of faults) virtual.after(each.atMs, () => trial.apply(each))
       for (let atMs = 0; atMs < DURATION_MS; atMs += STEP_MS) {
@@ -140,29 +151,54 @@
     }), { seed: SEED, numRuns: RUNS })
   })
 
+  // Before the failure the gateways may have executed the burst already.
+  it('give no burst to gateways that start all at once, but share what is refilled from the start on', async () => {
+    const { site, at, virtual } = startAll()
+    await virtual.advance(3_000)
+    for (const { name } of site.gateways) site.restart(name, 500)
+    await virtual.advance(501)
+    const startedAt = virtual.now()
+    for (let step = 0; step < 60; step++) {
+      for (let call = 0; call < 20; call++) site.run(at(0), 2_000)
+      await virtual.advance(50)
+    }
+    const executed = site.executions.reduce((sum, { cost }) => sum + cost, 0)
+    chai.expect(executed / (virtual.now() - startedAt) * 1_000).to.be.within(0.5 * RATE_PER_S, RATE_PER_S)
+  })
+
+  it('refuse an account that sends ten times its quota with few requests for credit, and spread its callers over the credit to come', async () => {
+    const { site, virtual } = startAll()
+    for (let step = 0; step < 200; step++) {
+      for (const gateway of site.gateways.filter((_, index) => step % 2 === index % 2)) for (let call = 0; call < 2; call++) site.run(gateway, 2_000)
+      await virtual.advance(50)
+      if (step === 160) site.refusals.length = 0
+    }
+    // Callers that were refused within two seconds and are to return within a second: over three seconds at most.
+    chai.expect(site.refusals.filter((ms) => ms < 1_000).length * 2_000).to.be.at.most(3 * RATE_PER_S)
+    chai.expect(site.counter('godwitpoint_quota_borrowings_total', 'outcome="lent"') + site.counter('godwitpoint_quota_borrowings_total', 'outcome="empty"')).to.be.at.most(MAX_CREDIT_REQUESTS_PER_S * 31 * 10)
+  })
+
   for (const receivers of [1, 2, 31]) {
     it(`refuse at most 2% of the calls of an account within its quota at ${receivers} of 31 gateways, while one restarts`, async () => {
-      const site = new region.QuotaRegion({ windowMs: 8_000, overage: 0.1, slackTokens: 190_000 })
-      site.startMany(31)
-      site.setQuota(region.aQuota(RATE_PER_S))
-      await site.virtual.advance(7_000)
+      const { site, at, virtual, random } = startAll()
+      await virtual.advance(7_000)
+      site.restart('g30', 1_000)
       let calls = 0
       let level = RATE_PER_S
       for (let atMs = 0; atMs < DURATION_MS; atMs += 10) {
-        if (atMs === 8_000) site.gateways.get('g30')!.alive = false
-        if (atMs === 9_000) site.start('g30')
         level = Math.min(RATE_PER_S, level + RATE_PER_S / 100)
         for (const tokens of [17_020, 9_190, 1_460]) {
           // A third of the work is in calls of each size; nine tenths of the rate in all.
-          if (site.random.next() > 0.3 * RATE_PER_S / 100 / tokens || level < tokens) continue
+          if (random.next() > 0.3 * RATE_PER_S / 100 / tokens || level < tokens) continue
           level -= tokens
           calls++
-          site.gateways.get(`g${Math.floor(site.random.next() * receivers)}`)!.run(tokens)
+          site.run(at(Math.floor(random.next() * receivers)), tokens)
         }
-        await site.virtual.advance(10)
+        await virtual.advance(10)
       }
       chai.expect(calls).to.be.above(400)
       chai.expect(site.refusals.length).to.be.at.most(MAX_REFUSED_SHARE * calls)
+      chai.expect(site.counter('godwitpoint_quota_calls_total', 'outcome="borrowed"')).to.be.at.most(MAX_WAITING_SHARE * calls)
     })
   }
 })
--- a/test/quota/share-bucket.test.ts
+++ b/test/quota/share-bucket.test.ts
@@ -54,10 +54,11 @@
     chai.expect(call.mayWrite()).to.equal(true)
     // The credit was refilled before the target reported that it had not executed the call.
     advance(1_000)
+    bucket.take(60)
     call.noteNotExecuted()
-    chai.expect(bucket.available).to.equal(40)
+    chai.expect(bucket.available).to.equal(-20)
     chai.expect(call.end()).to.equal(true)
-    chai.expect(bucket.available).to.equal(DEPTH)
+    chai.expect(bucket.available).to.equal(40)
   })
 
   it('keeps the credit of a call that may have been executed, and takes it again for a repetition', () => {
@@ -75,7 +76,11 @@
 
   it('forgets borrowed credit that does not fit into the share when it expires, also during a suspension', () => {
     const { bucket, clock } = filled()
-    bucket.receive(50, 300)
+    bucket.receive(70, 200)
+    chai.expect(bucket.available).to.equal(170)
+    clock.elapsedMs += 200
+    chai.expect(bucket.available).to.equal(DEPTH)
+    bucket.receive(50, 500)
     const charge = bucket.take(120)!
     chai.expect([bucket.available, bucket.renew(charge)]).to.deep.equal([30, true])
     clock.elapsedMs += 300
--- a/test/support/gateway-region.ts
+++ b/test/support/gateway-region.ts
@@ -9,6 +9,7 @@
 import * as metrics from '../../src/metrics/index.js'
 import type * as peer from '../../src/peer/index.js'
 import * as quarantine from '../../src/quarantine/index.js'
+import * as quota from '../../src/quota/index.js'
 import * as serving from '../../src/serving/index.js'
 import * as standin from '../../src/standin/index.js'
 import * as time from '../../src/time/index.js'
@@ -21,9 +22,12 @@
 const TARGET_EXPIRY_MS = 2_400
 const WINDOW_MS = 5_000
 
-/** Time that a call between gateways takes in one direction, in ms. */
+/** Time that a call between gateways takes in one direction unless a test sets another, in ms. */
 const TRANSIT_MS = 2
 
+/** The reply to a lost message. */
+const NEVER = new Promise<never>(() => {})
+
 /** Calls of one gateway. */
 export interface Traffic {
   sent: number
@@ -44,35 +48,46 @@
   readonly feed: serving.ConfigFeed
   readonly fleetFeed: fleet.FleetFeed
   readonly quarantine: quarantine.SegmentQuarantine
+  readonly quotas: quota.Quotas
+  readonly metrics = new metrics.Metrics()
   readonly ledger: duties.UsageLedger
   readonly collector: duties.UsageCollector
   /** Whether the process runs, and whether it reaches the store. */
   running = true
   storeReachable = true
   ready = true
+  private suspendedMs = 0
+  private suspendedAt: number | undefined
+  /** What the process does once it is resumed. */
+  private readonly deferred: Array<() => void> = []
+  private readonly virtual: time.VirtualTime
 
   constructor (region: Region, readonly name: string, incarnation: string, readonly domain: string) {
     const { virtual } = region
-    const env: time.Env = { ...virtual.env(region.seed++), timers: this.gatedTimers(virtual) }
-    const elapsed = new serving.ElapsedClock(virtual)
+    this.virtual = virtual
+    const clock: time.Clock = { now: () => (this.suspendedAt ?? virtual.now()) - this.suspendedMs, wallTimeMs: () => virtual.wallTimeMs() }
+    const env: time.Env = { ...virtual.env(region.seed++), clock, timers: this.gatedTimers(virtual) }
+    const elapsed = new serving.ElapsedClock(clock)
     const eras = new external.StoreEras()
     const store = this.gatedStore(region.store.client(eras))
-    const peers: peer.Peers = { handle: (method, handler) => { this.handlers.set(method, handler) }, call: async (address, method, params) => await region.call(this, address, method, params) }
+    const peers: peer.Peers = { handle: (method, handler) => { this.handlers.set(method, handler) }, call: async (address, method, params, timeoutMs) => await region.call(this, address, method, params, timeoutMs) }
     const self = { name, incarnation, front: `${name}:1`, peer: `${name}:2`, domain }
     const silent = log.SILENT_LOGGER
     const { log: logger } = region
     const isRelay = (): boolean => this.exchange.isRelay
-    this.fleet = new fleet.Fleet({ clock: virtual, log: silent, onRemoved: () => {} })
-    this.roster = new exchange.Roster({ clock: virtual, log: logger, self })
+    this.fleet = new fleet.Fleet({ clock, log: silent, onRemoved: () => {} })
+    this.roster = new exchange.Roster({ clock, log: logger, self })
     this.feed = new serving.ConfigFeed({ env, elapsed, store, eras, key: CONFIG_KEY, propagationMs: CONFIG_BOUND_MS, isReader: isRelay, decode: (text) => build.aConfig({ version: Number(text) }), log: silent, metrics: new metrics.Metrics() })
     this.fleetFeed = new fleet.FleetFeed({ env, elapsed, store, eras, prefix: TARGETS_PREFIX, leavePropagationMs: LEAVE_BOUND_MS, shortestExpiryMs: TARGET_EXPIRY_MS, isReader: isRelay, decode: (object) => JSON.parse(object.value) as serving.TargetRecord, fleet: this.fleet, log: silent })
     this.ledger = new duties.UsageLedger({ env, store, eras, name: `${name}.${incarnation}`, windowMs: WINDOW_MS, isRelay, log: silent })
     this.collector = new duties.UsageCollector({ peers, ledger: this.ledger, eras, relayAddresses: () => this.exchange.fellowAddresses(), log: silent })
-    this.quarantine = new quarantine.SegmentQuarantine({ clock: virtual, selfName: name, gateways: () => this.directory.gatewayNames(), log: silent })
-    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.ledger, this.quarantine]
+    this.quarantine = new quarantine.SegmentQuarantine({ clock, selfName: name, gateways: () => this.directory.gatewayNames(), log: silent })
+    const gateways = (): quota.Gateways => ({ known: 1 + this.roster.all().length, inContact: this.roster.inContact(), registered: this.directory.isRegistered, wasListed: this.directory.wasListed })
+    this.quotas = new quota.Quotas({ env, elapsed, bounds: region.quotaBounds, peers, gateways, log: silent, metrics: this.metrics })
+    const topics = [this.roster, this.feed, this.fleetFeed, this.fleet.peerLoad, this.fleet.cacheUpdates, this.ledger, this.quarantine, this.quotas.topic]
     this.exchange = new exchange.Exchange({ env, elapsed, peers, self, roster: this.roster, topics, ready: () => this.ready, log: silent })
     this.directory = new directory.Directory({ env, store, eras, self, roster: this.roster, isRelay, ready: () => this.ready, log: logger })
-    for (const task of [this.feed, this.fleetFeed, this.directory, this.exchange, this.ledger]) task.start()
+    for (const task of [this.feed, this.fleetFeed, this.directory, this.exchange, this.ledger, this.quotas]) task.start()
   }
 
   /** The state of a target, as this gateway knows it. */
@@ -80,10 +95,28 @@
     return [...this.fleet.all()].find((state) => state.record.id === id)
   }
 
+  /** Stops the process and its monotonic clock, without it noticing. */
+  suspend (): void {
+    this.suspendedAt ??= this.virtual.now()
+  }
+
+  resume (): void {
+    if (this.suspendedAt === undefined) return
+    this.suspendedMs += this.virtual.now() - this.suspendedAt
+    this.suspendedAt = undefined
+    for (const fn of this.deferred.splice(0)) this.do(fn)
+  }
+
+  /** Runs `fn` in this process: not after its end, and after a suspension. */
+  do (fn: () => void): void {
+    if (this.running && this.suspendedAt === undefined) fn()
+    else if (this.running) this.deferred.push(fn)
+  }
+
   private gatedTimers (virtual: time.VirtualTime): time.Timers {
     return {
-      after: (ms, fn) => virtual.after(ms, () => { if (this.running) fn() }),
-      every: (ms, fn) => virtual.every(ms, () => { if (this.running) fn() })
+      after: (ms, fn) => virtual.after(ms, () => this.do(fn)),
+      every: (ms, fn) => virtual.every(ms, () => this.do(fn))
     }
   }
 
@@ -109,11 +142,16 @@
 /** A store and the gateways that use it. */
 export class Region {
   readonly virtual = new time.VirtualTime()
+  readonly random = new time.SeededRandom(7)
   readonly store = new standin.MemoryStore(this.virtual)
   readonly gateways = new Map<string, RegionGateway>()
   /** Pairs of names, in order, between which messages get lost. */
   readonly cuts = new Set<string>()
   seed = 1
+  /** Time that a message takes, in ms, and the share of messages that get lost. */
+  transitMs = (): number => TRANSIT_MS
+  lossRate = 0
+  quotaBounds: quota.QuotaBounds = { windowMs: 8_000, overage: 0, slackTokens: 0 }
   /** Log of the directories and rosters of gateways that are started later. */
   log: log.Logger = log.SILENT_LOGGER
 
@@ -139,27 +177,28 @@
     await Promise.all([this.store.put(key, value, this.store.peek(key)?.version ?? 'absent'), this.virtual.advance(this.store.faults.delayMs + 1)])
   }
 
-  async call<T> (from: RegionGateway, address: string, method: string, params: unknown): Promise<errors.Result<T, peer.PeerError>> {
+  async call<T> (from: RegionGateway, address: string, method: string, params: unknown, timeoutMs: number): Promise<errors.Result<T, peer.PeerError>> {
+    const result = await time.withTimeout<errors.Result<T, peer.PeerError>>(this.virtual, timeoutMs, this.exchange<T>(from, address, method, params), () => errors.Err({ kind: 'timeout', message: 'no reply' }))
+    await new Promise<void>((resolve) => from.do(resolve))
+    return result
+  }
+
+  private async exchange<T> (from: RegionGateway, address: string, method: string, params: unknown): Promise<errors.Result<T, peer.PeerError>> {
     const name = address.split(':')[0]!
-    const lost = (a: string, b: string): boolean => this.cuts.has(`${a}>${b}`)
+    const lost = (a: string, b: string): boolean => this.cuts.has(`${a}>${b}`) || this.random.next() < this.lossRate
     const reqText = JSON.stringify(params)
     from.traffic.sent++
     from.traffic.bytes += reqText.length
-    await time.delay(this.virtual, TRANSIT_MS)
+    await time.delay(this.virtual, this.transitMs())
     const to = this.gateways.get(name)
     if (to?.running !== true) return errors.Err({ kind: 'refused', message: 'nothing listens there' })
-    if (lost(from.name, name)) return await this.timeOut()
+    if (lost(from.name, name)) return await NEVER
+    await new Promise<void>((resolve) => to.do(resolve))
     to.traffic.received++
     const res = await to.handlers.get(method)!(JSON.parse(reqText)).then((reply) => JSON.stringify(reply), () => undefined)
     if (res === undefined) return errors.Err({ kind: 'failed', message: 'handler failed' })
     to.traffic.bytes += res.length
-    await time.delay(this.virtual, TRANSIT_MS)
-    if (lost(name, from.name)) return await this.timeOut()
-    return errors.Ok(JSON.parse(res) as T)
-  }
-
-  private async timeOut (): Promise<errors.Result<never, peer.PeerError>> {
-    await time.delay(this.virtual, 400)
-    return errors.Err({ kind: 'timeout', message: 'no reply' })
+    await time.delay(this.virtual, this.transitMs())
+    return lost(name, from.name) ? await NEVER : errors.Ok(JSON.parse(res) as T)
   }
 }
