--- a/src/quota/held-credit.ts
+++ b/src/quota/held-credit.ts
@@ -13,6 +13,11 @@
     return this.sum
   }
 
+  /** When the next amount is released; infinite when none is held. */
+  get nextReleaseAt (): number {
+    return this.parts[0]?.until ?? Infinity
+  }
+
   /** Holds an amount; the result is only for `cancel`. */
   add (amount: number, now: number): HeldPart {
     const part = { amount, until: now + this.holdMs }
--- a/src/quota/share-bucket.ts
+++ b/src/quota/share-bucket.ts
@@ -159,13 +159,26 @@
     return this.waiting + this.inTransit.total + this.lent.total
   }
 
+  // Time in which the share was full does not count for what is released later.
   private refill (): void {
     const now = this.clocks.monotonic.now()
-    this.inTransit.release(now)
-    this.lent.release(now)
+    for (let at = this.nextReleaseAt; at <= now; at = this.nextReleaseAt) {
+      this.refillUntil(at)
+      this.inTransit.release(at)
+      this.lent.release(at)
+      this.keepBorrowed()
+    }
     this.keepBorrowed()
-    this.level += this.limit.ratePerMs * Math.max(0, now - this.refilledAt)
-    this.refilledAt = now
+    this.refillUntil(now)
+  }
+
+  private get nextReleaseAt (): number {
+    return Math.min(this.inTransit.nextReleaseAt, this.lent.nextReleaseAt)
+  }
+
+  private refillUntil (at: number): void {
+    this.level += this.limit.ratePerMs * Math.max(0, at - this.refilledAt)
+    this.refilledAt = Math.max(at, this.refilledAt)
     this.capLevel()
   }
 
--- a/test/quota/wiring.test.ts
+++ b/test/quota/wiring.test.ts
@@ -58,5 +58,7 @@
     chai.expect(gateway.lines.some((line) => line.includes('quota_limiting_started') && line.includes('account=acc'))).to.equal(true)
     await time.delay(new time.SystemTimers(), 1_000)
     for (let index = 0; index < 6; index++) chai.expect((await gateway.request(`rejected-${index}`)).status).to.equal(503)
+    const refunds = gateway.metrics.render().split('\n').filter((line) => line.startsWith('godwitpoint_quota_refunds_total'))
+    chai.expect(refunds.reduce((sum, line) => sum + Number(line.split(' ')[1]), 0)).to.equal(6)
   }).timeout(20_000)
 })
