--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -178,14 +178,6 @@
     return true
   }
 
-  // What a target executes after a prefill elsewhere was paid for with the prefill.
-  private takesCredit (): boolean {
-    const { call, plan } = this.spec
-    if (call.credit === undefined || plan.kvSource !== undefined) return true
-    this.creditTaken = call.credit.mayWrite()
-    return this.creditTaken
-  }
-
   onHead (status: number, headers: upstream.ResponseHeaders): void {
     this.noteByte()
     const { state, stream } = this.spec
@@ -221,6 +213,14 @@
     else this.settle({ kind: 'not_run', written: false, message: err.message })
   }
 
+  // What a target executes after a prefill elsewhere was paid for with the prefill.
+  private takesCredit (): boolean {
+    const { call, plan } = this.spec
+    if (call.credit === undefined || plan.kvSource !== undefined) return true
+    this.creditTaken = call.credit.mayWrite()
+    return this.creditTaken
+  }
+
   private noteTargetReport ({ leaving, retryAfterMs }: calls.ResponseHead): void {
     const { state } = this.spec
     if (leaving === true) this.deps.fleet.noteLeaving(state)
--- a/src/quota/borrower.ts
+++ b/src/quota/borrower.ts
@@ -59,6 +59,8 @@
     this.borrowing = true
     this.runRounds(ahead).catch(this.deps.onError).finally(() => {
       this.borrowing = false
+      // The share may have been refilled meanwhile.
+      this.serve()
       this.refuse(() => true)
     })
   }
--- a/src/quota/limit.ts
+++ b/src/quota/limit.ts
@@ -1,6 +1,12 @@
 /** What a quota allows under the operators' bounds. */
 import type * as serving from '../serving/index.js'
 
+/**
+ * Part of overage and slack that is held back: for repeated sends, and for the moments in which gateways start or count
+ * each other differently.
+ */
+const HELD_BACK_PART = 0.3
+
 /** Smallest depth of a bucket, as a part of the burst and in ms of the rate; the larger one applies. */
 const MIN_DEPTH_BURSTS = 0.5
 const MIN_DEPTH_MS = 500
@@ -27,13 +33,13 @@
 export const NO_CREDIT: Limit = { ratePerMs: 0, depth: 0 }
 
 /** Units that a window may contain at most. */
-export function windowLimit ({ unit, ratePerMs, burst }: serving.AccountQuota, { windowMs, overage, slackTokens }: QuotaBounds): number {
-  return (ratePerMs * windowMs + burst) * (1 + overage) + (unit === 'tokens' ? slackTokens : 0)
+export function windowLimit (quota: serving.AccountQuota, bounds: QuotaBounds): number {
+  return quota.ratePerMs * bounds.windowMs + quota.burst + marginOf(quota, bounds)
 }
 
 /** The bucket that keeps every window within its limit. The rate is lowered where the depth would otherwise be too small. */
 export function bucketLimit (quota: serving.AccountQuota, bounds: QuotaBounds): Limit {
-  const total = windowLimit(quota, bounds)
+  const total = windowLimit(quota, bounds) - HELD_BACK_PART * marginOf(quota, bounds)
   const { ratePerMs, burst } = quota
   const minDepth = Math.min(total, Math.max(MIN_DEPTH_BURSTS * burst, MIN_DEPTH_MS * ratePerMs))
   const depth = Math.max(minDepth, total - ratePerMs * bounds.windowMs)
@@ -49,3 +55,8 @@
 export function costOf ({ unit, plainTokens }: serving.AccountQuota, tokens: number | undefined): number {
   return unit === 'requests' ? 1 : Math.max(0, tokens ?? plainTokens)
 }
+
+/** Overage and slack, in units. */
+function marginOf ({ unit, ratePerMs, burst }: serving.AccountQuota, { windowMs, overage, slackTokens }: QuotaBounds): number {
+  return overage * (ratePerMs * windowMs + burst) + (unit === 'tokens' ? slackTokens : 0)
+}
--- a/src/quota/quotas.ts
+++ b/src/quota/quotas.ts
@@ -13,11 +13,15 @@
 import type * as lenders from './lenders.js'
 import * as limits from './limit.js'
 import * as quotaTopic from './quota-topic.js'
+import type * as shareBucket from './share-bucket.js'
 import * as shareCount from './share-count.js'
 
 /** Interval at which the shares are adapted and credit is borrowed ahead, in ms. */
 const TICK_MS = 100
 
+/** Retry-after of a call whose account had its quota removed while it waited, in ms. */
+const REMOVED_RETRY_AFTER_MS = 100
+
 /** What this gateway knows of itself and the others. */
 export interface Gateways extends Omit<shareCount.Membership, 'inContact'> {
   /** The other gateways that are in contact. */
@@ -103,7 +107,7 @@
   /** The refusal of a call whose borrowed credit has expired before it could be sent. */
   refuseExpired (name: string, cost: number): errors.Refusal {
     const credit = this.accounts.get(name)?.credit
-    return credit === undefined ? refusal(TICK_MS) : this.refuse(name, credit, cost)
+    return credit === undefined ? refusal(REMOVED_RETRY_AFTER_MS) : this.refuse(name, credit, cost)
   }
 
   private async borrowFor (name: string, { credit, borrower }: Account, cost: number): Promise<callCredit.ChargedCall | errors.Refusal> {
@@ -111,7 +115,7 @@
     return charge === undefined ? this.refuse(name, credit, cost) : this.grant(credit, cost, charge, 'borrowed')
   }
 
-  private grant (credit: accountCredit.AccountCredit, cost: number, charge: ConstructorParameters<typeof callCredit.ChargedCall>[2], outcome: 'granted' | 'borrowed'): callCredit.ChargedCall {
+  private grant (credit: accountCredit.AccountCredit, cost: number, charge: shareBucket.Charge, outcome: 'granted' | 'borrowed'): callCredit.ChargedCall {
     this.deps.metrics.count('godwitpoint_quota_calls_total', `outcome="${outcome}"`)
     this.deps.metrics.count('godwitpoint_quota_units_total', `unit="${credit.quota.unit}"`, cost)
     return new callCredit.ChargedCall(credit.bucket, cost, charge)
@@ -168,7 +172,7 @@
     return [...this.accounts].map(([name, { credit }]) => quotaTopic.toRow(name, credit.bucket.used, credit.demandPerMs)).filter(quotaTopic.isInUse)
   }
 
-  private get clocks (): { readonly monotonic: Pick<time.Clock, 'now'>, readonly elapsed: Pick<time.Clock, 'now'> } {
+  private get clocks (): shareBucket.Clocks {
     return { monotonic: this.deps.env.clock, elapsed: this.deps.elapsed }
   }
 }
--- a/test/quota/bound.test.ts
+++ b/test/quota/bound.test.ts
@@ -12,10 +12,8 @@
 const CONFIG_APPLY_MS = 3_000
 const ROUNDING = 1e-6
 
-/** Share of the calls of an account within its quota that is refused at most. */
+/** Shares of the calls of an account within its quota that are refused, and that wait for credit of other gateways, at most. */
 const MAX_REFUSED_SHARE = 0.02
-
-/** Share of them that waits for credit of other gateways at most. */
 const MAX_WAITING_SHARE = 0.3
 
 /** Requests for credit that a gateway sends per second at most, on average, for an account that exceeds its quota everywhere. */
@@ -24,35 +22,22 @@
 /** Rate at which calls of the largest size cost more than a gateway's share of the bucket. */
 const RATE_PER_S = 120_000
 
-const gatewayIndex = fc.integer({ min: 0, max: 5 })
-const time = fc.integer({ min: 0, max: DURATION_MS })
-const forMs = fc.integer({ min: 200, max: 9_000 })
-
-const fault = fc.record({
-  atMs: time,
-  forMs,
-  kind: fc.constantFrom('kill', 'suspend', 'split', 'cut', 'killAll', 'lose', 'slow', 'join', 'lower', 'raise'),
-  gateway: gatewayIndex
-})
+const index = fc.integer({ min: 0, max: 5 })
+const period = { atMs: fc.integer({ min: 0, max: DURATION_MS }), forMs: fc.integer({ min: 200, max: 9_000 }) }
+const fault = fc.record({ ...period, gateway: index, kind: fc.constantFrom('kill', 'suspend', 'split', 'cut', 'killAll', 'lose', 'slow', 'join', 'lower', 'raise') })
 type Fault = typeof fault extends fc.Arbitrary<infer T> ? T : never
 
 /** Calls at one gateway or all; `rates` is a multiple of the rate, `part` the cost of a call as a part of the rate per second. */
-const load = fc.record({
-  atMs: time,
-  forMs,
-  gateway: fc.option(gatewayIndex),
-  rates: fc.constantFrom(0.5, 4, 8),
-  part: fc.constantFrom(0.01, 0.1, 0.3),
-  course: fc.record({ waitMs: fc.constantFrom(0, 400, 3_000), rejections: fc.constantFrom(0, 0, 1), leaves: fc.boolean() })
-})
+const course = fc.record({ waitMs: fc.constantFrom(0, 400, 3_000), rejections: fc.constantFrom(0, 0, 1), leaves: fc.boolean() })
+const load = fc.record({ ...period, gateway: fc.option(index), rates: fc.constantFrom(0.5, 4, 8), part: fc.constantFrom(0.01, 0.1, 0.3), course })
 type Load = typeof load extends fc.Arbitrary<infer T> ? T : never
 
+/** After `quietMs` the account sends many times its quota, at one gateway or all. */
 const scenario = fc.record({
   burstS: fc.constantFrom(0, 0.5, 1),
   slackTokens: fc.constantFrom(0, 0, 20_000),
-  /** After this time the account sends many times its quota. */
   quietMs: fc.integer({ min: 0, max: 12_000 }),
-  hotGateway: fc.option(gatewayIndex),
+  hotGateway: fc.option(index),
   faults: fc.array(fault, { maxLength: 6 }),
   loads: fc.array(load, { maxLength: 6 })
 })
@@ -68,14 +53,14 @@
 
   change (ratePerS: number, burst = ratePerS): void {
     this.ratePerS = ratePerS
-    const accountQuota = quotaSite.aQuota(ratePerS, burst)
-    this.changes.push({ limit: quota.windowLimit(accountQuota, this.bounds), atMs: this.site.region.virtual.now() })
-    this.site.setQuota(accountQuota, this.changes.length === 1 ? 0 : CONFIG_APPLY_MS)
+    const changed = quotaSite.aQuota(ratePerS, burst)
+    this.changes.push({ limit: quota.windowLimit(changed, this.bounds), atMs: this.site.region.virtual.now() })
+    this.site.setQuota(changed, this.changes.length === 1 ? 0 : CONFIG_APPLY_MS)
   }
 
-  apply ({ kind, gateway: index, forMs }: Fault): void {
+  apply ({ kind, gateway: number, forMs }: Fault): void {
     const { site, site: { region } } = this
-    const name = `g${index}`
+    const name = `g${number}`
     const gateway = region.gateways.get(name)
     const names = [...region.gateways.keys()]
     const later = (fn: () => void): void => { region.virtual.after(forMs, fn) }
@@ -112,8 +97,8 @@
     for (const last of executions) {
       sum += last.cost
       while (executions[first]!.at <= last.at - windowMs) sum -= executions[first++]!.cost
-      const isUsed = (index: number): boolean => this.changes[index]!.atMs <= last.at && (this.changes[index + 1]?.atMs ?? Infinity) + CONFIG_APPLY_MS >= last.at - windowMs
-      const limit = Math.max(...this.changes.filter((_, index) => isUsed(index)).map((change) => change.limit))
+      const used = this.changes.filter(({ atMs }, number) => atMs <= last.at && (this.changes[number + 1]?.atMs ?? Infinity) + CONFIG_APPLY_MS >= last.at - windowMs)
+      const limit = Math.max(...used.map((change) => change.limit))
       chai.expect(sum, `at ${last.at}`).to.be.at.most(limit * (1 + ROUNDING))
     }
   }
@@ -130,7 +115,7 @@
 function startAll () {
   const site = new quotaSite.QuotaSite({ windowMs: 8_000, overage: 0.1, slackTokens: 190_000 }, 31)
   site.setQuota(quotaSite.aQuota(RATE_PER_S))
-  const at = (index: number): gatewayRegion.RegionGateway => site.region.gateways.get(`g${index}`)!
+  const at = (number: number): gatewayRegion.RegionGateway => site.region.gateways.get(`g${number}`)!
   return { site, at, virtual: site.region.virtual, random: site.region.random }
 }
 
@@ -169,13 +154,13 @@
   it('refuse an account that sends ten times its quota with few requests for credit, and spread its callers over the credit to come', async () => {
     const { site, virtual } = startAll()
     for (let step = 0; step < 200; step++) {
-      for (const gateway of site.gateways.filter((_, index) => step % 2 === index % 2)) for (let call = 0; call < 2; call++) site.run(gateway, 2_000)
+      for (const gateway of site.gateways.filter((_, number) => step % 2 === number % 2)) for (let call = 0; call < 2; call++) site.run(gateway, 2_000)
       await virtual.advance(50)
       if (step === 160) site.refusals.length = 0
     }
     // Callers that were refused within two seconds and are to return within a second: over three seconds at most.
     chai.expect(site.refusals.filter((ms) => ms < 1_000).length * 2_000).to.be.at.most(3 * RATE_PER_S)
-    chai.expect(site.counter('godwitpoint_quota_borrowings_total', 'outcome="lent"') + site.counter('godwitpoint_quota_borrowings_total', 'outcome="empty"')).to.be.at.most(MAX_CREDIT_REQUESTS_PER_S * 31 * 10)
+    chai.expect(site.counter('borrowings', 'lent') + site.counter('borrowings', 'empty')).to.be.at.most(MAX_CREDIT_REQUESTS_PER_S * 31 * 10)
   })
 
   for (const receivers of [1, 2, 31]) {
@@ -198,7 +183,7 @@
       }
       chai.expect(calls).to.be.above(400)
       chai.expect(site.refusals.length).to.be.at.most(MAX_REFUSED_SHARE * calls)
-      chai.expect(site.counter('godwitpoint_quota_calls_total', 'outcome="borrowed"')).to.be.at.most(MAX_WAITING_SHARE * calls)
+      chai.expect(site.counter('calls', 'borrowed')).to.be.at.most(MAX_WAITING_SHARE * calls)
     })
   }
 })
--- a/test/quota/wiring.test.ts
+++ b/test/quota/wiring.test.ts
@@ -13,19 +13,19 @@
     const gateways = region.startMany(12)
     for (const { quotas } of gateways) quotas.applyConfig(ACCOUNTS)
     await region.virtual.advance(3_000)
-    const [first] = gateways
-    let admitted = 0
+    const first = gateways[0]!
     const run = async (ms: number): Promise<number> => {
-      const before = admitted
-      for (let step = 0; step < ms / 50; step++) {
-        for (let call = 0; call < 20; call++) Promise.resolve(first!.quotas.admit('acc', 100)).then((credit) => { if (credit !== undefined && 'end' in credit && credit.mayWrite()) admitted += 100 }).catch((err: unknown) => { throw err })
-        await region.virtual.advance(50)
+      let admitted = 0
+      const call = async (): Promise<void> => {
+        const credit = await first.quotas.admit('acc', 100)
+        if (credit !== undefined && 'end' in credit && credit.mayWrite()) admitted += 100
       }
-      return admitted - before
+      for (let step = 0; step < ms / 50; step++) await Promise.all([...Array.from({ length: 20 }, call), region.virtual.advance(50)])
+      return admitted
     }
     chai.expect(await run(2_000)).to.be.within(24_000, 36_000)
     chai.expect(gateways[11]!.quotas.topic.others('acc').used).to.be.above(5_000)
-    for (const other of gateways.slice(1)) for (const pair of [`${first!.name}>${other.name}`, `${other.name}>${first!.name}`]) region.cuts.add(pair)
+    for (const { name } of gateways.slice(1)) for (const pair of [`g0>${name}`, `${name}>g0`]) region.cuts.add(pair)
     await region.virtual.advance(4_000)
     chai.expect(await run(4_000)).to.be.within(3_500, 5_100)
   })
--- a/test/support/quota-site.ts
+++ b/test/support/quota-site.ts
@@ -10,13 +10,10 @@
 const MAX_TRANSIT_MS = 250
 const REPORT_MS = 300
 
-/** How a call goes on once it is admitted. */
+/** Time from the admission to the first send in ms, sends that targets reject, and whether the caller leaves before the first one. */
 export interface CallCourse {
-  /** Time from the admission to the first send, in ms. */
   readonly waitMs?: number
-  /** Sends that targets reject without executing them, before the one that is executed. */
   readonly rejections?: number
-  /** Whether the caller leaves before the first send. */
   readonly leaves?: boolean
 }
 
@@ -71,9 +68,9 @@
     gateway.do(() => { admit().catch((err: unknown) => { throw err }) })
   }
 
-  /** Sum of a counter over all gateways. */
-  counter (name: string, label: string): number {
-    return this.gateways.reduce((sum, gateway) => sum + gateway.metrics.counter(name, label), 0)
+  /** Sum of a counter of the quotas over all gateways. */
+  counter (name: string, outcome: string): number {
+    return this.gateways.reduce((sum, { metrics }) => sum + metrics.counter(`godwitpoint_quota_${name}_total`, `outcome="${outcome}"`), 0)
   }
 
   private send (gateway: gatewayRegion.RegionGateway, credit: quota.ChargedCall, tokens: number, course: CallCourse): void {
