--- a/src/quota/credit-requests.ts
+++ b/src/quota/credit-requests.ts
@@ -15,7 +15,7 @@
 const REPLY_TIMEOUT_MS = 80
 
 /** Part by which the units asked of several gateways together exceed what is missing. */
-const ASK_SURPLUS = 1.5
+const ASK_SURPLUS = 1.2
 
 /** Range of the place in the list of gateways at which this one begins to ask. */
 const START_RANGE = 1_024
--- a/src/quota/limit.ts
+++ b/src/quota/limit.ts
@@ -5,7 +5,7 @@
  * Part of overage and slack that is held back: for repeated sends, and for the moments in which gateways start or count
  * each other differently.
  */
-const HELD_BACK_PART = 0.3
+const HELD_BACK_PART = 0.15
 
 /** Smallest depth of a bucket, as a part of the burst and in ms of the rate; the larger one applies. */
 const MIN_DEPTH_BURSTS = 0.5
