Quotas: calls that cost more than several shares ask more gateways; a bucket holds one unit at least

Cause: with 31 gateways a call that cost more than eight full shares was refused although the bucket as a whole had the credit, and a quota of few requests per second admitted none. npm test before this change: 858 passing.

--- a/src/quota/account-credit.ts
+++ b/src/quota/account-credit.ts
@@ -16,9 +16,10 @@
 /** Part of a share below which others are not asked to lend from it. */
 const MIN_FREE_PART = 0.05
 
-/** Gateways that are asked at once, at least and at most. */
+/** Gateways that are asked at once, at least and at most; more when a call costs more than these parts of their shares. */
 const MIN_LENDERS = 2
-export const MAX_LENDERS = 8
+const MAX_LENDERS = 8
+const LENT_PART = 0.25
 
 /** Surplus of gateways asked, as some have less than the average. */
 const LENDER_SURPLUS = 1.3
@@ -97,13 +98,13 @@
   mayBorrow (missing: number, others: Others): boolean {
     if (others.lenders === 0 || this.now() < this.pausedUntil) return false
     const free = this.freePerLender(others)
-    return free >= MIN_FREE_PART * this.bucket.depth && free * Math.min(MAX_LENDERS, others.lenders) >= missing
+    return free >= MIN_FREE_PART * this.bucket.depth && free * this.maxLenders(missing, others) >= missing
   }
 
   /** Number of gateways to ask for `missing` units. */
   lendersFor (missing: number, others: Others): number {
     const count = Math.ceil(LENDER_SURPLUS * missing / Math.max(1, this.freePerLender(others))) + 1
-    return Math.min(others.lenders, MAX_LENDERS, Math.max(MIN_LENDERS, count))
+    return Math.min(this.maxLenders(missing, others), Math.max(MIN_LENDERS, count))
   }
 
   /** Units to borrow before calls need them: for an account whose demand here exceeds the refill of the share. */
@@ -158,6 +159,10 @@
     return Math.min(this.demandPerMs, this.limit.ratePerMs * partOf(this.demandPerMs, others))
   }
 
+  private maxLenders (missing: number, { lenders }: Others): number {
+    return Math.min(lenders, Math.max(MAX_LENDERS, Math.ceil(missing / (LENT_PART * this.bucket.depth))))
+  }
+
   private freePerLender ({ lenders, used }: Others): number {
     return lenders === 0 ? 0 : Math.max(0, this.bucket.depth - used / lenders)
   }
--- a/src/quota/lenders.ts
+++ b/src/quota/lenders.ts
@@ -4,7 +4,7 @@
 const SILENT_MS = 1_000
 
 /** Requests for credit that a gateway sends in an interval at most, and the interval in ms. */
-const MAX_REQUESTS = 20
+const MAX_REQUESTS = 40
 const INTERVAL_MS = 100
 
 /** A gateway that may lend. */
--- a/src/quota/limit.ts
+++ b/src/quota/limit.ts
@@ -11,6 +11,9 @@
 const MIN_DEPTH_BURSTS = 0.5
 const MIN_DEPTH_MS = 500
 
+/** Units that a bucket holds at least, so that a request fits. */
+const MIN_DEPTH_UNITS = 1
+
 /** Bounds on what an account may execute in a window, over all gateways. */
 export interface QuotaBounds {
   /** Length of a window, in ms. */
@@ -41,7 +44,7 @@
 export function bucketLimit (quota: serving.AccountQuota, bounds: QuotaBounds): Limit {
   const total = windowLimit(quota, bounds) - HELD_BACK_PART * marginOf(quota, bounds)
   const { ratePerMs, burst } = quota
-  const minDepth = Math.min(total, Math.max(MIN_DEPTH_BURSTS * burst, MIN_DEPTH_MS * ratePerMs))
+  const minDepth = Math.min(total, Math.max(MIN_DEPTH_BURSTS * burst, MIN_DEPTH_MS * ratePerMs, MIN_DEPTH_UNITS))
   const depth = Math.max(minDepth, total - ratePerMs * bounds.windowMs)
   return { ratePerMs: Math.min(ratePerMs, (total - depth) / bounds.windowMs), depth }
 }
--- a/test/quota/bound.test.ts
+++ b/test/quota/bound.test.ts
@@ -140,7 +140,11 @@
   // Before the failure the gateways may have executed the burst already.
   it('give no burst to gateways that start all at once, but share what is refilled from the start on', async () => {
     const { site, at, virtual } = startAll()
-    await virtual.advance(3_000)
+    await virtual.advance(5_000)
+    // A call that costs more than eight full shares is admitted nevertheless.
+    site.run(at(0), 150_000)
+    await virtual.advance(500)
+    chai.expect(site.executions.splice(0)).to.have.length(1)
     for (const { name } of site.gateways) site.restart(name, 500)
     await virtual.advance(501)
     const startedAt = virtual.now()
