--- a/src/fleet/target-state.ts
+++ b/src/fleet/target-state.ts
@@ -182,8 +182,7 @@
   /** Load row for the other gateways; undefined while this gateway has no call at the target. */
   toRow (): peerLoad.LoadRow | undefined {
     if (this.running === 0) return undefined
-    const row: peerLoad.LoadRow = [this.record.id, this.running, Math.round(this.pendingPrefillTokens)]
-    if (this.held.unshared > 0) row[3] = Math.round(this.held.unshared)
-    return row
+    const heldTokens = Math.round(this.held.unshared)
+    return [this.record.id, this.running, Math.round(this.pendingPrefillTokens), ...(heldTokens > 0 ? [heldTokens] : [])]
   }
 }
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -91,6 +91,8 @@
   private paused = false
   private stallTimer: Disposable | undefined
   private finish: ((result: AttemptResult) => void) | undefined
+  /** Whether the credit of the call was taken for this send. */
+  private creditTaken = false
   private readonly replacementTimeouts: stallTimeouts.StallTimeouts
   private readonly splitter: eventStream.EventSplitter
 
@@ -170,7 +172,7 @@
   // The target may have left, or turned requests away, while this one waited for a connection.
   mayWrite (): boolean {
     const now = this.deps.env.clock.now()
-    if (this.spec.state.isBarred(now)) return false
+    if (this.spec.state.isBarred(now) || !this.takesCredit()) return false
     this.writeMs = Math.round(now - this.sentAt)
     return true
   }
@@ -210,6 +212,14 @@
     else this.settle({ kind: 'not_run', written: false, message: err.message })
   }
 
+  // What a target executes after a prefill elsewhere was paid for with the prefill.
+  private takesCredit (): boolean {
+    const { call, plan } = this.spec
+    if (call.credit === undefined || plan.kvSource !== undefined) return true
+    this.creditTaken = call.credit.mayWrite()
+    return this.creditTaken
+  }
+
   private noteTargetReport ({ leaving, retryAfterMs }: calls.ResponseHead): void {
     const { state } = this.spec
     if (leaving === true) this.deps.fleet.noteLeaving(state)
@@ -356,6 +366,7 @@
   private settle (result: AttemptResult): void {
     const finish = this.finish
     this.finish = undefined
+    if (finish !== undefined && this.creditTaken && result.kind === 'not_run') this.spec.call.credit?.noteNotExecuted()
     finish?.(result)
   }
 }
