Plan engines by the throughput of busy engines

It asked for 200 engines where 42 had been provided. Change: the lease holder fits the time of the fastest prefills over their size, by stage, and uses the slope; the factor for late calls ends at 1.5.

--- a/src/capacity/capacity-need.ts
+++ b/src/capacity/capacity-need.ts
@@ -33,7 +33,7 @@
 /** Growth and decline of the factor for late calls, for each ms, and its limit. */
 const PRESSURE_GROWTH_PER_MS = 0.1 / 1_000
 const PRESSURE_DECLINE_PER_MS = 0.05 / 1_000
-const MAX_PRESSURE = 2
+const MAX_PRESSURE = 1.5
 
 /** Engines that are present. */
 export interface PresentEngines {
--- a/src/capacity/demand-meter.ts
+++ b/src/capacity/demand-meter.ts
@@ -4,6 +4,7 @@
 import type * as fleet from '../fleet/index.js'
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
+import * as engineThroughput from './engine-throughput.js'
 import * as segmentSample from './segment-sample.js'
 import * as work from './work.js'
 
@@ -34,6 +35,8 @@
   /** Undefined when no event arrived. */
   readonly firstEventAt: number | undefined
   readonly endedAt: number
+  /** Whether the engine first fetched cached segments from another one. */
+  readonly fetched: boolean
 }
 
 /** Work of the calls of a service at this gateway. */
@@ -45,6 +48,7 @@
 interface ServiceDemand {
   work: work.Work
   readonly segments: segmentSample.SegmentSample
+  readonly throughput: Readonly<Record<serving.Stage, engineThroughput.StageThroughput>>
 }
 
 /** Counters of the work of this gateway's calls, by service. */
@@ -68,6 +72,12 @@
       refused: 0
     })
     if (!prefillOnly) this.noteSegments(call, endedAt)
+    this.noteThroughput(ended)
+  }
+
+  /** Tokens per ms that a busy engine of a stage prefills; undefined while this gateway has seen too few prefills. */
+  throughput (service: string, stage: serving.Stage): number | undefined {
+    return this.services.get(service)?.throughput[stage].tokensPerMs
   }
 
   /** Counts a call that was refused; its own segment is work that engines had no room for. */
@@ -102,6 +112,12 @@
     return isQueued && prefillMs <= sloMs * MAX_PREFILL_SLO_SHARE
   }
 
+  private noteThroughput ({ call, target, prefillOnly, prefillTokens, tokensAhead, fetched, sentAt, firstEventAt, endedAt }: EndedAttempt): void {
+    const prefilledAt = prefillOnly ? endedAt : firstEventAt
+    if (prefillTokens <= 0 || tokensAhead > 0 || fetched || prefilledAt === undefined || prefilledAt <= sentAt) return
+    this.demandOf(call.service.name).throughput[target.stage ?? 'decode'].note({ tokens: prefillTokens, ms: prefilledAt - sentAt })
+  }
+
   private noteSegments (call: calls.Call, now: number): void {
     const { segments } = this.demandOf(call.service.name)
     for (const { id, tokens } of call.prompt?.segments.slice(0, -1) ?? []) segments.note(id, tokens, now)
@@ -115,7 +131,8 @@
   private demandOf (service: string): ServiceDemand {
     let demand = this.services.get(service)
     if (demand === undefined) {
-      demand = { work: work.NO_WORK, segments: new segmentSample.SegmentSample() }
+      const throughput = { prefill: new engineThroughput.StageThroughput(), decode: new engineThroughput.StageThroughput() }
+      demand = { work: work.NO_WORK, segments: new segmentSample.SegmentSample(), throughput }
       this.services.set(service, demand)
     }
     return demand
--- a/src/duties/capacity-orders.ts
+++ b/src/duties/capacity-orders.ts
@@ -17,6 +17,7 @@
 export interface CapacityOrdersDeps {
   readonly clock: time.Clock
   readonly demand: Pick<capacity.DemandTopic, 'total' | 'segmentTokens' | 'hearsAll'>
+  readonly meter: Pick<capacity.DemandMeter, 'throughput'>
   /** Whether this gateway reaches most of the others. */
   readonly reachesMost: () => boolean
   readonly lease: Pick<lease.Lease, 'stamp'>
@@ -96,18 +97,27 @@
   }
 
   private presentEngines (service: string, targets: readonly fleet.TargetState[]): capacity.PresentEngines {
-    const now = this.deps.clock.now()
-    const { speeds } = this.deps.fleet
     const serving = targets.filter((target) => !target.record.leaving)
     return {
       count: serving.length,
       mixedCount: serving.filter((target) => target.record.stage !== 'prefill').length,
-      tokensPerMs: serving.reduce((sum, target) => sum + target.prefillTokensPerMs(now), 0),
-      prefillTokensPerMs: speeds.tokensPerMs({ service, stage: 'prefill' }),
-      mixedTokensPerMs: speeds.tokensPerMs({ service, stage: 'decode' })
+      tokensPerMs: serving.reduce((sum, target) => sum + this.throughputOf(target), 0),
+      prefillTokensPerMs: this.stageThroughput(service, 'prefill'),
+      mixedTokensPerMs: this.stageThroughput(service, 'decode')
     }
   }
 
+  private stageThroughput (service: string, stage: serving.Stage): number {
+    return this.deps.meter.throughput(service, stage) ?? this.deps.fleet.speeds.tokensPerMs({ service, stage })
+  }
+
+  // Engines of one stage differ as their measured speeds do.
+  private throughputOf (target: fleet.TargetState): number {
+    const { service, stage = 'decode' } = target.record
+    const relativeSpeed = target.prefillTokensPerMs(this.deps.clock.now()) / this.deps.fleet.speeds.tokensPerMs({ service, stage })
+    return relativeSpeed * this.stageThroughput(service, stage)
+  }
+
   private report (view: serviceCapacity.CapacityView, decision: serviceCapacity.CapacityDecision): void {
     const { metrics, log } = this.deps
     const { demand, estimate, need, desired, orders } = decision
--- a/src/forward/attempt-recorder.ts
+++ b/src/forward/attempt-recorder.ts
@@ -117,7 +117,7 @@
 
   private countWork ({ attempt: { firstEventAt }, state, options, prefillTokens, tokensAhead, sentAt }: SentAttempt, endedAt: number): void {
     if (this.call.service.engine === undefined) return
-    this.deps.demand?.noteAttempt({ call: this.call, target: state.record, prefillOnly: options.prefillOnly === true, prefillTokens, tokensAhead, sentAt, firstEventAt, endedAt })
+    this.deps.demand?.noteAttempt({ call: this.call, target: state.record, prefillOnly: options.prefillOnly === true, prefillTokens, tokensAhead, sentAt, firstEventAt, endedAt, fetched: options.fetchFrom !== undefined })
   }
 
   private logEnd (sent: SentAttempt, result: attempt.AttemptResult, endedAt: number): void {
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -269,7 +269,7 @@
     const services = (): Iterable<serving.ServingService> => this.feed.current()?.config.services.values() ?? []
     const shared = { lease: this.lease, dutyApi, fleet: this.fleet, services, domains: settings.domains, log }
     const reachesMost = (): boolean => 2 * this.roster.upWithin(0).length >= this.roster.all().length
-    const capacityOrders = new duties.CapacityOrders({ ...shared, clock: env.clock, demand: this.demand, reachesMost, metrics: this.deps.metrics })
+    const capacityOrders = new duties.CapacityOrders({ ...shared, clock: env.clock, demand: this.demand, meter: this.demandMeter, reachesMost, metrics: this.deps.metrics })
     return new duties.TargetOrders({ ...shared, env, store, eras: this.deps.eras, capacity: capacityOrders })
   }
 
