Order no more engines than at first while only speeds of single prompts are known

Cause: in the first ten seconds the lease holder has too few prefills for the throughput, and ordered 30 standard engines by speeds that are too low. Change: until it is measured the need is at most the first size; 48 prefills of different sizes suffice.

--- a/src/capacity/capacity-need.ts
+++ b/src/capacity/capacity-need.ts
@@ -44,6 +44,8 @@
   /** The same of a prefill-only engine and of a mixed one, on average. */
   readonly prefillTokensPerMs: number
   readonly mixedTokensPerMs: number
+  /** Whether these are rates of busy engines; otherwise they are speeds of single prompts, which are lower. */
+  readonly measured: boolean
 }
 
 /** Input of an estimate. */
@@ -88,15 +90,13 @@
   const forSlots = Math.max(mixedForSlots, mixedForKv) / mixedShare
   const forCache = Math.min(initialSize, (demand.peakKvTokens + segmentTokens) * KV_MARGIN / kvCapacityTokens)
   const engines = Math.ceil(Math.max(1, forPrefill, forSlots, forCache))
-  return {
-    engines,
-    steadyEngines: Math.min(engines, Math.ceil(demand.meanPrefillTokens / TARGET_UTILIZATION / tokensPerMs)),
-    meanEngines: Math.ceil(demand.meanPrefillTokens / MAX_UTILIZATION / tokensPerMs),
-    forPrefill,
-    forSlots,
-    forCache,
-    unseenFactor: 1 + (UNSEEN_PEAK_FACTOR - 1) * Math.max(0, 1 - demand.observedMs / WAVE_MS)
-  }
+  const steadyEngines = Math.min(engines, Math.ceil(demand.meanPrefillTokens / TARGET_UTILIZATION / tokensPerMs))
+  const meanEngines = Math.ceil(demand.meanPrefillTokens / MAX_UTILIZATION / tokensPerMs)
+  const unseenFactor = 1 + (UNSEEN_PEAK_FACTOR - 1) * Math.max(0, 1 - demand.observedMs / WAVE_MS)
+  const parts = { forPrefill, forSlots, forCache, unseenFactor }
+  if (present.measured) return { engines, steadyEngines, meanEngines, ...parts }
+  // Too high an estimate must not order more than the service was started with.
+  return { engines: Math.min(engines, initialSize), steadyEngines: Math.min(steadyEngines, initialSize), meanEngines: 0, ...parts }
 }
 
 // Where most of those present only prefill, further ones do not: they count as the usual mixture.
--- a/src/capacity/engine-throughput.ts
+++ b/src/capacity/engine-throughput.ts
@@ -8,16 +8,19 @@
 const MAX_SAMPLES = 240
 
 /** Samples of similar size that give one point of the line of time over tokens. */
-const GROUP_SIZE = 24
+const GROUP_SIZE = 16
 
 /** Groups without which no throughput is known. */
 const MIN_GROUPS = 3
 
+/** Ratio of the largest size to the smallest one without which the line is not known. */
+const MIN_SIZE_RATIO = 3
+
 /** Part of a group that counts as not having waited. */
 const FASTEST_SHARE = 0.25
 
 /** Samples after which the line is calculated anew. */
-const RECALCULATE_AFTER = 24
+const RECALCULATE_AFTER = 16
 
 /** A prefill without known prompts ahead. */
 export interface PrefillSample {
@@ -51,8 +54,9 @@
 
   private calculate (): number | undefined {
     const points = groupBySize(this.samples).map(fastestOf)
-    const msPerToken = points.length < MIN_GROUPS ? undefined : slopeOf(points)
-    return msPerToken === undefined || msPerToken <= 0 ? undefined : 1 / msPerToken
+    if (points.length < MIN_GROUPS || points.at(-1)!.tokens < MIN_SIZE_RATIO * points[0]!.tokens) return undefined
+    const msPerToken = slopeOf(points)
+    return msPerToken > 0 ? 1 / msPerToken : undefined
   }
 }
 
@@ -71,7 +75,7 @@
 }
 
 /** Slope of the line through points, each weighted so that relative errors count. */
-function slopeOf (points: readonly PrefillSample[]): number | undefined {
+function slopeOf (points: readonly PrefillSample[]): number {
   let [weights, x, y, xx, xy] = [0, 0, 0, 0, 0]
   for (const { tokens, ms } of points) {
     const weight = 1 / (ms * ms)
@@ -81,6 +85,5 @@
     xx += weight * tokens * tokens
     xy += weight * tokens * ms
   }
-  const spread = weights * xx - x * x
-  return spread <= 0 ? undefined : (weights * xy - x * y) / spread
+  return (weights * xy - x * y) / (weights * xx - x * x)
 }
--- a/src/duties/capacity-orders.ts
+++ b/src/duties/capacity-orders.ts
@@ -103,7 +103,8 @@
       mixedCount: serving.filter((target) => target.record.stage !== 'prefill').length,
       tokensPerMs: serving.reduce((sum, target) => sum + this.throughputOf(target), 0),
       prefillTokensPerMs: this.stageThroughput(service, 'prefill'),
-      mixedTokensPerMs: this.stageThroughput(service, 'decode')
+      mixedTokensPerMs: this.stageThroughput(service, 'decode'),
+      measured: this.deps.meter.throughput(service, 'prefill') !== undefined || this.deps.meter.throughput(service, 'decode') !== undefined
     }
   }
 
@@ -148,6 +149,7 @@
       for_slots: round(estimate?.forSlots),
       for_cache: round(estimate?.forCache),
       late_share: round(demand?.latest.lateShare),
+      throughput_measured: view.present.measured,
       pressure: round(decision.pressure),
       observed_ms: round(demand?.observedMs),
       orders: orders.length
