--- a/src/capacity/capacity-need.ts
+++ b/src/capacity/capacity-need.ts
@@ -56,7 +56,7 @@
   readonly kvCapacityTokens: number
   /** Tokens of the shared segments that are in use. */
   readonly segmentTokens: number
-  /** Number of engines at the first start; bounds what is kept for cached segments, and what short peaks of the load need. */
+  /** Number of engines at the first start; bounds what is kept for cached segments alone. */
   readonly initialSize: number
   /** Factor for late calls; see {@link nextPressure}. */
   readonly pressure: number
@@ -83,8 +83,7 @@
   const tokensPerMs = tokensPerMsOfOne(present)
   const mixedShare = Math.max(MIN_MIXED_SHARE, present.mixedCount / Math.max(1, present.count))
   const enginesFor = (prefillTokensPerMs: number): number => prefillTokensPerMs * pressure / TARGET_UTILIZATION / tokensPerMs
-  // Engines arrive after most short peaks have passed; a load that lasts may need more than the service was started with.
-  const forPrefill = Math.min(enginesFor(demand.peakPrefillTokens), Math.max(initialSize, enginesFor(demand.meanPrefillTokens)))
+  const forPrefill = enginesFor(demand.peakPrefillTokens)
   const mixedForSlots = demand.peakSlots / (slots * TARGET_SLOT_SHARE)
   const mixedForKv = demand.peakKvTokens * KV_MARGIN / kvCapacityTokens
   const forSlots = Math.max(mixedForSlots, mixedForKv) / mixedShare
@@ -95,8 +94,8 @@
   const unseenFactor = 1 + (UNSEEN_PEAK_FACTOR - 1) * Math.max(0, 1 - demand.observedMs / WAVE_MS)
   const parts = { forPrefill, forSlots, forCache, unseenFactor }
   if (present.measured) return { engines, steadyEngines, meanEngines, ...parts }
-  // Too high an estimate must not order more than the service was started with.
-  return { engines: Math.min(engines, initialSize), steadyEngines: Math.min(steadyEngines, initialSize), meanEngines: 0, ...parts }
+  // Too high an estimate must order no standard engines beyond what the service was started with.
+  return { engines, steadyEngines: Math.min(steadyEngines, initialSize), meanEngines: 0, ...parts }
 }
 
 // Where most of those present only prefill, further ones do not: they count as the usual mixture.
