--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -65,6 +65,10 @@
   })
 }
 
+/** Processes that run. None stays behind when the script ends early. */
+const running = new Set()
+process.once('exit', () => { for (const child of running) child.kill('SIGKILL') })
+
 /** One gateway and its process. */
 export class Gateway {
   lines = []
@@ -82,12 +86,12 @@
     this.child.stdout.on('data', keep)
     this.child.stderr.on('data', keep)
     this.child.once('exit', (code, signal) => {
+      running.delete(child)
       if (!this.asked) this.unexpectedExit = String(signal ?? code)
       this.ended = true
     })
     this.ended = false
-    // No process stays behind when the script ends early.
-    process.once('exit', () => child.kill('SIGKILL'))
+    running.add(child)
   }
 
   signal (name) {
