--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -46,6 +46,7 @@
         return
       }
       if (serverStandin.answerControlCall(request, info)) return
+      run.note(`run ${request.id} by ${info.id}`)
       request.answer(200, `id: 1\ndata: ${request.id}\n\n`, { 'Content-Type': 'text/event-stream', 'Response-Stamp': `${info.id}.${request.id}` })
     })
     run.register({ ...info, service: 'model', address: server.address, slots: 128, stage: 'decode' })
@@ -58,20 +59,23 @@
   const server = await serverStandin.RawServer.start((request) => {
     if (serverStandin.answerControlCall(request, info)) return
     ran.add(request.id)
+    run.note(`run ${request.id} by ${info.id}`)
     setTimeout(() => request.answer(200, `answer to ${request.id}`, { 'Response-Stamp': `${info.id}.${request.id}` }), WORK_MS)
   })
   run.register({ ...info, service: 'ledger', address: server.address, slots: 64 })
 }
 
 /** Sends requests one after the other until the time is over; notes those whose connection ended without an answer. */
-async function sendRequests (address, name, request, until) {
+async function sendRequests (run, address, name, request, until) {
   const lost = []
   let answered = 0
   let connection
   for (let number = 0; Date.now() < until; number++) {
     if (connection === undefined || connection.closed) connection = new client.ClientConnection(address)
     const id = `${name}-${number}`
+    run.note(`sent ${id}`)
     const answer = await connection.send({ ...request, headers: { ...request.headers, 'Request-Id': id, Authorization: `Token ${deployment.KEY}` }, body: 'x' })
+    run.note(answer.complete ? `answered ${id} with ${answer.status}` : `no answer to ${id}, connection ${answer.closed ? 'closed' : 'open'}`)
     if (answer.complete) {
       answered++
       if (request.pauseMs !== undefined) await deployment.delay(request.pauseMs)
@@ -122,8 +126,8 @@
   await run.startGateways()
   const until = Date.now() + RUN_MS
   const clients = run.gateways.flatMap((gateway, number) => [
-    ...Array.from({ length: CLIENTS }, (_, index) => sendRequests(gateway.front, `record-${number}-${index}`, RECORD, until)),
-    ...Array.from({ length: STREAM_CLIENTS }, (_, index) => sendRequests(gateway.front, `chat-${number}-${index}`, CHAT, until))
+    ...Array.from({ length: CLIENTS }, (_, index) => sendRequests(run, gateway.front, `record-${number}-${index}`, RECORD, until)),
+    ...Array.from({ length: STREAM_CLIENTS }, (_, index) => sendRequests(run, gateway.front, `chat-${number}-${index}`, CHAT, until))
   ])
   const watches = run.gateways.map((gateway) => keepRunning(run, gateway, until))
   if (deployment.TROUBLE) for (const atMs of SPOIL_AT_MS) setTimeout(() => { engines.due++ }, atMs)
