--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -55,13 +55,27 @@
   await new Promise((resolve) => { setTimeout(resolve, ms) })
 }
 
+/** Range of the gateways' ports: below those that the kernel gives to connections and to listeners without a port. */
+const FIRST_PORT = 12_000
+const PORT_COUNT = 16_000
+
+const takenPorts = new Set()
+
+/** A port that is free now and was not given before. */
 async function freePort () {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT)
+    if (takenPorts.has(port) || !await isFree(port)) continue
+    takenPorts.add(port)
+    return port
+  }
+}
+
+async function isFree (port) {
   return await new Promise((resolve) => {
     const server = net.createServer()
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address()
-      server.close(() => resolve(port))
-    })
+    server.once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
   })
 }
 
