--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -79,9 +79,13 @@
   })
 }
 
-/** Processes that run. None stays behind when the script ends early. */
+/** Processes that run, and temporary folders. None stays behind when the script ends early. */
 const running = new Set()
-process.once('exit', () => { for (const child of running) child.kill('SIGKILL') })
+const folders = new Set()
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL')
+  for (const folder of folders) fs.rmSync(folder, { recursive: true, force: true })
+})
 
 /** One gateway and its process. */
 export class Gateway {
@@ -137,6 +141,7 @@
     const created = new Deployment()
     created.folder = folder
     created.dir = fs.mkdtempSync(path.join(os.tmpdir(), 'review-'))
+    folders.add(created.dir)
     created.store = await store.Store.start()
     created.config = {
       version: 1,
