Stop validating a list or record from outside after a few issues

What callers saw: one response of an engine to a poll for cache changes, 1 MiB or more with numbers in place of entries, ended the gateway that had asked.

Cause: the schema of the response has one issue for each element that does not match, an object of about 330 bytes for two bytes of text: 163 MB for 500,000 elements (heap limit: 192 MB). The same holds for each z.array, z.record and tuple with a rest in messages of others.

Evidence, each alone under the flags of the deploy file: parsing 2 MiB as JSON leaves 10 MB; decoding 1, 2 and 4 MiB of numbers, or 4 MiB of empty objects or lists, ends the process at its heap limit. A stored configuration of 1 MB with numbers in place of routes does so too. A record of records with 200,000 wrong values made the library exceed its stack, and safeParse threw.

Ruled out: the JSON text, which is parsed before and survives; the number of polls, as one is enough.

Change: list, record and tupleWithRest of the new src/validation give up after 16 issues; all schemas of src and platform use them, and the linter rejects the others.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,6 +13,22 @@
       '@typescript-eslint/no-redeclare': 'off'
     }
   },
+  {
+    files: ['src/**', 'platform/**'],
+    ignores: ['src/validation/**'],
+    rules: {
+      'no-restricted-syntax': ['error', {
+        selector: 'CallExpression[callee.object.name="z"][callee.property.name=/^(array|record|partialRecord|looseRecord|map|set)$/]',
+        message: 'An issue for each malformed element exhausts the heap: use list and record of src/validation.'
+      }, {
+        selector: 'CallExpression[callee.object.name="z"][callee.property.name="tuple"][arguments.length>1]',
+        message: 'An issue for each malformed element exhausts the heap: use tupleWithRest of src/validation.'
+      }, {
+        selector: 'CallExpression[callee.property.name="rest"]:not([arguments.0.callee.property.name="unknown"])',
+        message: 'An issue for each malformed element exhausts the heap: use tupleWithRest of src/validation.'
+      }]
+    }
+  },
   {
     files: ['test/**', 'scripts/**'],
     rules: {
--- a/src/admission/share-wire.ts
+++ b/src/admission/share-wire.ts
@@ -1,5 +1,6 @@
 /** Messages of `share.report` between an entry and the coordinator entries of accounts and services. */
 import * as z from 'zod'
+import * as validation from '../validation/index.js'
 
 /** Name of the peer method. */
 export const SHARE_METHOD = 'share.report'
@@ -33,8 +34,8 @@
   /** Increases with each message of an incarnation. */
   seq: z.int().min(0),
   /** Account rows by service. */
-  rows: z.record(Name, z.array(ShareRow).max(MAX_ROWS)).optional(),
-  slots: z.array(SlotRow).max(MAX_ROWS).optional()
+  rows: validation.record(Name, validation.list(ShareRow, { max: MAX_ROWS })).optional(),
+  slots: validation.list(SlotRow, { max: MAX_ROWS }).optional()
 })
 export type ShareReport = z.infer<typeof ShareReport>
 
@@ -55,7 +56,7 @@
 /** Reply of a coordinator entry; `home` is its incarnation. */
 export const ShareReply = z.object({
   home: Name,
-  rows: z.record(Name, z.array(SumRow).max(MAX_ROWS)).optional(),
-  slots: z.array(SlotReply).max(MAX_ROWS).optional()
+  rows: validation.record(Name, validation.list(SumRow, { max: MAX_ROWS })).optional(),
+  slots: validation.list(SlotReply, { max: MAX_ROWS }).optional()
 })
 export type ShareReply = z.infer<typeof ShareReply>
--- a/src/capacity/demand-topic.ts
+++ b/src/capacity/demand-topic.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod'
 import type * as exchange from '../exchange/index.js'
 import type * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 import type * as demandMeter from './demand-meter.js'
 import * as segmentSample from './segment-sample.js'
 import * as work from './work.js'
@@ -16,23 +17,23 @@
 const MAX_ROWS = 1_000
 
 /** A service and its counters, in the order of {@link work.WORK_FIELDS}. */
-const ServiceRow = z.tuple([z.string()], z.int().nonnegative())
+const ServiceRow = validation.tupleWithRest(z.string(), z.int().nonnegative())
 type ServiceRow = z.infer<typeof ServiceRow>
 
 /** Counters of one incarnation of a gateway; a service without calls is not listed. */
-const GatewayRow = z.object({ gateway: z.string(), incarnation: z.string(), services: z.array(ServiceRow) })
+const GatewayRow = z.object({ gateway: z.string(), incarnation: z.string(), services: validation.list(ServiceRow) })
 type GatewayRow = z.infer<typeof GatewayRow>
 
-const SegmentRows = z.record(z.string(), z.array(segmentSample.SegmentRow))
+const SegmentRows = validation.record(z.string(), validation.list(segmentSample.SegmentRow))
 type SegmentRows = z.infer<typeof SegmentRows>
 
 /** Rows that changed, and the sampled segments by service when they are due; from a member to its relay, and between relays. */
-const DemandChanges = z.object({ rows: z.array(GatewayRow), segments: SegmentRows.optional() })
+const DemandChanges = z.object({ rows: validation.list(GatewayRow), segments: SegmentRows.optional() })
 type DemandChanges = z.infer<typeof DemandChanges>
 
 /** Counters of all gateways as a relay knows them, and the estimated tokens of the shared segments in use; from a relay to a member. */
 const ServiceTotal = z.object({ row: ServiceRow, segmentTokens: z.number() })
-const DemandTotals = z.object({ totals: z.array(ServiceTotal) })
+const DemandTotals = z.object({ totals: validation.list(ServiceTotal) })
 type DemandTotals = z.infer<typeof DemandTotals>
 
 interface KnownRow {
--- a/src/config/peer-messages.ts
+++ b/src/config/peer-messages.ts
@@ -1,5 +1,6 @@
 /** Messages between entries about the configuration. */
 import * as z from 'zod'
+import * as validation from '../validation/index.js'
 
 /** Peer methods. */
 export const CONFIG_METHODS = { poll: 'config.poll', delta: 'config.delta', pull: 'config.pull', withdraw: 'key.withdraw', pending: 'key.pending' } as const
@@ -32,18 +33,18 @@
     generation: z.int(),
     digest: z.string(),
     whole: z.boolean(),
-    changed: z.array(z.object({ name: z.string(), digest: z.string() })),
-    removed: z.array(z.string())
+    changed: validation.list(z.object({ name: z.string(), digest: z.string() })),
+    removed: validation.list(z.string())
   }).optional()
 })
 
 /** Requests chunks by digest; `base` is the digest of the chunk that the caller has under the same name. */
-export const PullReq = z.object({ chunks: z.array(z.object({ digest: z.string(), base: z.string().optional() })).max(MAX_PULL_CHUNKS) })
+export const PullReq = z.object({ chunks: validation.list(z.object({ digest: z.string(), base: z.string().optional() }), { max: MAX_PULL_CHUNKS }) })
 export type PullReq = z.infer<typeof PullReq>
 
 /** Complete texts, or the difference from the base, see `Splice`. */
 export const PullRes = z.object({
-  chunks: z.array(z.object({ digest: z.string(), text: z.string(), splice: z.object({ base: z.string(), head: z.int().min(0), tail: z.int().min(0) }).optional() }))
+  chunks: validation.list(z.object({ digest: z.string(), text: z.string(), splice: z.object({ base: z.string(), head: z.int().min(0), tail: z.int().min(0) }).optional() }))
 })
 export type PullRes = z.infer<typeof PullRes>
 
@@ -52,4 +53,4 @@
 /** Whether the receiver now refuses the key. */
 export const WithdrawRes = z.object({ refused: z.boolean() })
 /** Ids of keys whose withdrawal is pending. */
-export const PendingRes = z.object({ ids: z.array(z.string()) })
+export const PendingRes = z.object({ ids: validation.list(z.string()) })
--- a/src/daemon/fleet-work.ts
+++ b/src/daemon/fleet-work.ts
@@ -4,6 +4,7 @@
 import { hash32 } from '../hash/index.js'
 import type { MembershipView } from '../membership/index.js'
 import type { UsageCounters } from '../usage/index.js'
+import * as validation from '../validation/index.js'
 
 /** Name of the extra value that membership sends. */
 const EXTRA_NAME = 'work'
@@ -19,7 +20,7 @@
  * prompt lengths in thousands of tokens squared, and `w` the number of waiting requests.
  */
 const WorkRow = z.object({ s: z.string(), p: z.number(), o: z.number(), q: z.number(), w: z.number() })
-const WorkReport = z.array(WorkRow).max(MAX_SERVICES)
+const WorkReport = validation.list(WorkRow, { max: MAX_SERVICES })
 type WorkReport = z.infer<typeof WorkReport>
 
 /** Cumulative work of a service over all entries, and the number of waiting requests. */
--- a/src/duties/target-orders.ts
+++ b/src/duties/target-orders.ts
@@ -4,6 +4,7 @@
 import type * as log from '../log/index.js'
 import type * as serving from '../serving/index.js'
 import * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 import * as z from 'zod'
 import type * as capacityOrders from './capacity-orders.js'
 import type * as lease from './lease.js'
@@ -24,7 +25,7 @@
 /** Time after a restore of the store for which nothing is ordered, in ms; the targets write their records again in it. */
 const RESTORE_SETTLE_MS = 2_500
 
-const Sizes = z.record(z.string(), z.int())
+const Sizes = validation.record(z.string(), z.int())
 type Sizes = z.infer<typeof Sizes>
 
 /** Dependencies of the target orders. */
--- a/src/duties/usage-collector.ts
+++ b/src/duties/usage-collector.ts
@@ -3,6 +3,7 @@
 import type * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import type * as peer from '../peer/index.js'
+import * as validation from '../validation/index.js'
 import * as z from 'zod'
 import * as usageCounts from './usage-counts.js'
 import * as usageFinals from './usage-finals.js'
@@ -20,7 +21,7 @@
 const HeldRes = z.object({ processes: usageCounts.ProcessCounts, finals: usageFinals.FinalCounts.default({}), restored: usageFinals.RestoreBound.optional() })
 const FinalsReq = z.object({ finals: usageFinals.FinalCounts })
 /** Windows of which the callee knows other final counts. */
-const FinalsRes = z.object({ differing: z.array(z.int()) })
+const FinalsRes = z.object({ differing: validation.list(z.int()) })
 
 /** Dependencies of the collector. */
 export interface UsageCollectorDeps {
--- a/src/duties/usage-counts.ts
+++ b/src/duties/usage-counts.ts
@@ -1,5 +1,6 @@
 /** Counts of requests that began to execute, by process, window and account. */
 import * as z from 'zod'
+import * as validation from '../validation/index.js'
 
 /** Number of windows whose counts are retained, the current one included; older ones have been closed. */
 const RETAINED_WINDOWS = 5
@@ -13,11 +14,11 @@
 }
 
 /** Counts of one process by window number and account. */
-export const WindowCounts = z.record(z.string(), z.record(z.string(), z.int()))
+export const WindowCounts = validation.record(z.string(), validation.record(z.string(), z.int()))
 export type WindowCounts = z.infer<typeof WindowCounts>
 
 /** Counts of several processes, by the name of the process. */
-export const ProcessCounts = z.record(z.string(), WindowCounts)
+export const ProcessCounts = validation.record(z.string(), WindowCounts)
 export type ProcessCounts = z.infer<typeof ProcessCounts>
 
 interface HeldCounts {
--- a/src/duties/usage-finals.ts
+++ b/src/duties/usage-finals.ts
@@ -1,6 +1,7 @@
 /** Final counts of closed windows, as this process knows them besides the store, which may return from an older copy. */
 import type * as external from '../external/index.js'
 import type * as log from '../log/index.js'
+import * as validation from '../validation/index.js'
 import * as z from 'zod'
 
 /** Age at which the report of a window is abandoned and its final counts are deleted, in windows. */
@@ -9,11 +10,11 @@
 /** Windows for which final counts are retained in memory beyond those that may still be reported. */
 const RETAINED_MARGIN_WINDOWS = 4
 
-const Counts = z.record(z.string(), z.int())
+const Counts = validation.record(z.string(), z.int())
 type Counts = z.infer<typeof Counts>
 
 /** Final counts by window number. */
-export const FinalCounts = z.record(z.string(), z.object({ counts: Counts, reported: z.boolean() }))
+export const FinalCounts = validation.record(z.string(), z.object({ counts: Counts, reported: z.boolean() }))
 export type FinalCounts = z.infer<typeof FinalCounts>
 
 /** The stored object of final counts. */
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -3,6 +3,7 @@
 import type * as log from '../log/index.js'
 import type * as peer from '../peer/index.js'
 import type * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 import * as relayPlan from './relay-plan.js'
 import type * as roster from './roster.js'
 import * as types from './types.js'
@@ -22,8 +23,8 @@
 /** Time for which a gateway that is not a relay by its own account is not called as one, in ms. */
 const NO_RELAY_MS = 1_000
 
-const TopicChanges = z.record(z.string(), z.object({ next: z.int(), payload: z.unknown() }))
-const Positions = z.record(z.string(), z.int())
+const TopicChanges = validation.record(z.string(), z.object({ next: z.int(), payload: z.unknown() }))
+const Positions = validation.record(z.string(), z.int())
 
 /** A call over a link: `as` is what the caller is to the callee. */
 const SyncReq = z.object({
--- a/src/exchange/peer-sums.ts
+++ b/src/exchange/peer-sums.ts
@@ -1,6 +1,7 @@
 /** Sums of figures of all gateways, by key, as the exchange between gateways tells them. */
 import * as z from 'zod'
 import type * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 import type * as types from './types.js'
 
 /** Age up to which the totals of the relay count, in ms. */
@@ -16,7 +17,7 @@
 export type SumRow = readonly [key: string, ...figures: number[]]
 
 /** `complete`: keys that are not listed have zeros; otherwise their figures are unchanged. `further`: figures beside the rows, in their order. */
-const SumChanges = z.object({ complete: z.boolean(), rows: z.array(z.tuple([z.string(), z.int(), z.int()])), further: z.array(z.array(z.int())).optional() })
+const SumChanges = z.object({ complete: z.boolean(), rows: validation.list(z.tuple([z.string(), z.int(), z.int()])), further: validation.list(validation.list(z.int())).optional() })
 type SumChanges = z.infer<typeof SumChanges>
 
 /** The figures of a key. */
--- a/src/exchange/roster.ts
+++ b/src/exchange/roster.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod'
 import type * as log from '../log/index.js'
 import type * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 import * as types from './types.js'
 
 /** Time for which a gateway that was just listed counts as up although nothing was heard of it, in ms. */
@@ -20,7 +21,7 @@
 /** State of a gateway as told; `beat` orders what is told of one incarnation. */
 const Told = z.object({ record: types.GatewayRecord, beat: z.int(), up: z.boolean(), ready: z.boolean() })
 type Told = z.infer<typeof Told>
-const ToldList = z.array(Told)
+const ToldList = validation.list(Told)
 
 /** Link of what this gateway has seen itself. */
 const OWN = ''
--- a/src/fleet/cache-updates.ts
+++ b/src/fleet/cache-updates.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod'
 import type * as calls from '../call/index.js'
 import type * as exchange from '../exchange/index.js'
+import * as validation from '../validation/index.js'
 
 /** Changes retained for others; a gateway that asks too late misses the oldest, which costs some wrong estimates. */
 const RETAINED_CHANGES = 8_192
@@ -18,10 +19,10 @@
   /** Whether the target restarted with an empty cache before the listed changes. */
   restarted: z.boolean(),
   /** Id of a segment, and its tokens that are cached now. */
-  changes: z.array(z.tuple([z.string(), z.number()]))
+  changes: validation.list(z.tuple([z.string(), z.number()]))
 })
 export type CacheRow = z.infer<typeof CacheRow>
-const CacheRows = z.array(CacheRow)
+const CacheRows = validation.list(CacheRow)
 
 /** Link of what this gateway found out itself. */
 const OWN = ''
--- a/src/fleet/fleet-feed.ts
+++ b/src/fleet/fleet-feed.ts
@@ -8,6 +8,7 @@
 import type * as log from '../log/index.js'
 import * as serving from '../serving/index.js'
 import * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 import type * as fleet from './fleet.js'
 import * as targetList from './target-list.js'
 
@@ -45,7 +46,7 @@
 const OUTAGE_FAILED_READS = 2
 
 /** Changes of the list, its age when this was sent, and its era; `complete`: other targets are not in the list. */
-const ListChanges = z.object({ ageMs: z.number(), complete: z.boolean(), records: z.array(targetList.TargetRecord), removed: z.array(z.string()), era: z.int().optional() })
+const ListChanges = z.object({ ageMs: z.number(), complete: z.boolean(), records: validation.list(targetList.TargetRecord), removed: validation.list(z.string()), era: z.int().optional() })
 type ListChanges = z.infer<typeof ListChanges>
 
 /** Dependencies of a {@link FleetFeed}. */
--- a/src/fleet/shared-sums.ts
+++ b/src/fleet/shared-sums.ts
@@ -5,6 +5,7 @@
 import * as z from 'zod'
 import type * as exchange from '../exchange/index.js'
 import type * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 import * as decayingSums from './decaying-sums.js'
 
 /** Time between two messages over a link, in ms: sums change slowly, and relays pay for each message. */
@@ -17,11 +18,11 @@
 const TOTALS_REUSE_MS = 200
 
 /** Sums of one key: the key, and the numbers. */
-const SumsRow = z.tuple([z.string().max(600)], z.number().nonnegative())
+const SumsRow = validation.tupleWithRest(z.string().max(600), z.number().nonnegative())
 type SumsRow = z.infer<typeof SumsRow>
 
 /** `position` rises with each message of a sender; `complete`: keys that are not listed have no sums, otherwise they are unchanged. */
-const SumsChanges = z.object({ position: z.int(), complete: z.boolean(), rows: z.array(SumsRow) })
+const SumsChanges = z.object({ position: z.int(), complete: z.boolean(), rows: validation.list(SumsRow) })
 
 /** What one gateway told over its link. */
 interface Told {
--- a/src/fleet/slowdowns.ts
+++ b/src/fleet/slowdowns.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod'
 import type * as exchange from '../exchange/index.js'
 import type * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 import * as workFactor from './work-factor.js'
 
 const PERCENT = 100
@@ -20,7 +21,7 @@
 
 /** A target, its work factor in percent, and the age of that report in ms. */
 const SlowdownRow = z.tuple([z.string(), z.number().positive(), z.number().nonnegative()])
-const SlowdownRows = z.array(SlowdownRow)
+const SlowdownRows = validation.list(SlowdownRow)
 
 /** A report of a target as others are told. */
 interface ToldFactor {
--- a/src/gateway/placement-explainer.ts
+++ b/src/gateway/placement-explainer.ts
@@ -6,6 +6,7 @@
 import * as placement from '../placement/index.js'
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 
 const EXPLAIN_METHOD = 'placement.explain'
 
@@ -21,7 +22,7 @@
   prompt: z.object({
     promptTokens: z.number().nonnegative(),
     outputTokens: z.number().nonnegative(),
-    segments: z.array(z.object({ id: z.string(), tokens: z.number().nonnegative() })).max(MAX_SEGMENTS).readonly()
+    segments: validation.list(z.object({ id: z.string(), tokens: z.number().nonnegative() }), { max: MAX_SEGMENTS }).readonly()
   }).optional()
 })
 export type ExplainReq = z.infer<typeof ExplainReq>
--- a/src/membership/wire.ts
+++ b/src/membership/wire.ts
@@ -1,5 +1,6 @@
 /** Messages between the membership tasks of entries. */
 import * as z from 'zod'
+import * as validation from '../validation/index.js'
 
 /** Peer methods. */
 export const PING_METHOD = 'membership.ping'
@@ -27,7 +28,7 @@
 })
 export type MemberRecord = z.infer<typeof MemberRecord>
 
-const Records = z.array(MemberRecord).max(MAX_RECORDS)
+const Records = validation.list(MemberRecord, { max: MAX_RECORDS })
 
 /** What the sender reports about itself. */
 export const SelfReport = z.object({
@@ -37,7 +38,7 @@
   /** Free fraction of its capacity. */
   free: z.number().min(0).max(1),
   /** Values of other modules by name. */
-  extras: z.record(z.string(), z.unknown())
+  extras: validation.record(z.string(), z.unknown())
 })
 export type SelfReport = z.infer<typeof SelfReport>
 
@@ -48,7 +49,7 @@
   /** Digest of the members that the sender knows. */
   digest: z.string(),
   /** Digests by failure domain; sent while other entries know different members. */
-  digests: z.record(z.string(), z.string()).optional()
+  digests: validation.record(z.string(), z.string()).optional()
 })
 export type Ping = z.infer<typeof Ping>
 
@@ -56,7 +57,7 @@
  * Ages of the members' last contacts, one character for each member, ordered by failure domain and id; grouped by
  * failure domain, and where needed by incarnation, when the two sides know different members.
  */
-export const ContactAges = z.union([z.string(), z.record(z.string(), z.union([z.string(), z.record(z.string(), z.string().length(1))]))])
+export const ContactAges = z.union([z.string(), validation.record(z.string(), z.union([z.string(), validation.record(z.string(), z.string().length(1))]))])
 export type ContactAges = z.infer<typeof ContactAges>
 
 /** Reply to a ping; has no ages when the digests differ and the digests by failure domain are needed first. */
--- a/src/operator/http-client.ts
+++ b/src/operator/http-client.ts
@@ -4,6 +4,7 @@
 import * as bytes from '../bytes/index.js'
 import { Err, Ok, StepError, type Result } from '../errors/index.js'
 import { EntryReport } from '../report/index.js'
+import * as validation from '../validation/index.js'
 import type { WithdrawalOutcome } from './types.js'
 
 /** Time allowed for one call, in ms. */
@@ -12,7 +13,7 @@
 /** Largest response, in bytes. */
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 
-const WithdrawalRes = z.object({ stored: z.boolean(), confirmed: z.array(z.string()), unconfirmed: z.array(z.string()) })
+const WithdrawalRes = z.object({ stored: z.boolean(), confirmed: validation.list(z.string()), unconfirmed: validation.list(z.string()) })
 
 /** Calls the operator interface of one entry; `address` is the `ip:port` of its operator listener. */
 export class OperatorClient {
--- a/src/orders/load-slots.ts
+++ b/src/orders/load-slots.ts
@@ -3,6 +3,7 @@
 import type { Metrics } from '../metrics/index.js'
 import type { ObjectStore } from '../external/index.js'
 import type { Clock } from '../time/index.js'
+import * as validation from '../validation/index.js'
 
 /** Concurrent model loads in a region; more would exceed the weight store's rate limit. */
 export const MAX_CONCURRENT_LOADS = 2
@@ -35,7 +36,7 @@
 })
 
 /** Running and waiting model loads of a region, as stored. */
-export const LoadPage = z.object({ rows: z.array(LoadRow) })
+export const LoadPage = z.object({ rows: validation.list(LoadRow) })
 export type LoadPage = z.infer<typeof LoadPage>
 
 /** Requests a slot for a load at wall-clock time `now` in ms: urgent loads go first, then those that have waited longest. */
--- a/src/placement/explanation.ts
+++ b/src/placement/explanation.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod'
 import type * as calls from '../call/index.js'
 import type * as fleet from '../fleet/index.js'
+import * as validation from '../validation/index.js'
 import type * as engineCandidates from './engine-candidates.js'
 
 /** Candidates of an explanation; the cheapest ones are listed. */
@@ -20,7 +21,7 @@
   /** Expected time to the first event, in ms. */
   expectedMs: z.number(),
   cost: z.number(),
-  parts: z.array(CostPart)
+  parts: validation.list(CostPart)
 })
 
 /** A target that is no candidate, and why. */
@@ -34,8 +35,8 @@
   /** `ms`, or `calls_per_slot` for plain calls. */
   unit: z.string(),
   chosen: ExplainedCandidate.optional(),
-  candidates: z.array(ExplainedCandidate),
-  excluded: z.array(ExcludedTarget)
+  candidates: validation.list(ExplainedCandidate),
+  excluded: validation.list(ExcludedTarget)
 })
 export type Explanation = z.infer<typeof Explanation>
 export type ExplainedCandidate = z.infer<typeof ExplainedCandidate>
--- a/src/quarantine/segment-quarantine.ts
+++ b/src/quarantine/segment-quarantine.ts
@@ -6,13 +6,13 @@
  * Gateways tell each other the targets that ended under each segment. A clearance starts a new list with a higher number, so
  * it wins over what was told before, and lists of the same number are merged; the order of messages does not matter.
  */
-import * as z from 'zod'
 import type * as calls from '../call/index.js'
 import type * as exchange from '../exchange/index.js'
 import * as hash from '../hash/index.js'
 import type * as log from '../log/index.js'
 import type * as serving from '../serving/index.js'
 import type * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 import * as answeredSegments from './answered-segments.js'
 import type * as records from './quarantine-records.js'
 import * as types from './types.js'
@@ -39,7 +39,7 @@
 /** Segments in one message, which must leave room for calls on a slow link. */
 const MAX_TOLD = 200
 
-const ToldSuspects = z.array(types.ToldSuspect)
+const ToldSuspects = validation.list(types.ToldSuspect)
 
 /** Sources that are no gateway's link: what this gateway found out itself, and what it read in the store. */
 const OWN = ''
--- a/src/quarantine/types.ts
+++ b/src/quarantine/types.ts
@@ -1,5 +1,6 @@
 /** What gateways tell each other of a suspected segment, and store of a quarantined one. */
 import * as z from 'zod'
+import * as validation from '../validation/index.js'
 
 export const ToldSuspect = z.object({
   /** Id of the segment. */
@@ -7,6 +8,6 @@
   /** How often it was cleared. */
   clearances: z.int(),
   /** Targets that ended since then. */
-  crashes: z.array(z.string())
+  crashes: validation.list(z.string())
 })
 export type ToldSuspect = z.infer<typeof ToldSuspect>
--- a/src/report/types.ts
+++ b/src/report/types.ts
@@ -1,5 +1,6 @@
 /** Schemas of the report that an entry gives to operators. */
 import * as z from 'zod'
+import * as validation from '../validation/index.js'
 
 /** Requests and latencies of a model service on one entry. */
 export const ServiceReport = z.object({
@@ -61,10 +62,10 @@
   incarnation: z.string(),
   state: z.enum(['ready', 'stopping']),
   generation: z.number(),
-  services: z.array(ServiceReport),
-  accounts: z.array(AccountReport),
-  concerns: z.array(ReportWarning),
-  spending: z.array(SpendingReport).default([]),
+  services: validation.list(ServiceReport),
+  accounts: validation.list(AccountReport),
+  concerns: validation.list(ReportWarning),
+  spending: validation.list(SpendingReport).default([]),
   billing: BillingReport.optional()
 })
 export type EntryReport = z.infer<typeof EntryReport>
--- a/src/schema/config.ts
+++ b/src/schema/config.ts
@@ -1,5 +1,6 @@
 /** Schemas of the configuration that operators declare, and the types inferred from them. */
 import * as z from 'zod'
+import * as validation from '../validation/index.js'
 
 /** Maximum length of a name, in characters. */
 const MAX_NAME_CHARS = 64
@@ -69,7 +70,7 @@
 export const Route = z.strictObject({
   name: Name,
   path: z.string().regex(/^\/[A-Za-z0-9._~/-]*$/, 'expected an absolute path without query'),
-  methods: z.array(z.enum(['GET', 'POST', 'PUT', 'PATCH', 'DELETE'])).min(1),
+  methods: validation.list(z.enum(['GET', 'POST', 'PUT', 'PATCH', 'DELETE']), { min: 1 }),
   service: Name,
   /** Whether requests need no key. */
   open: z.boolean().default(false),
@@ -119,13 +120,13 @@
 
 /** Complete configuration of a deployment. */
 export const ConfigSet = z.strictObject({
-  failure_domains: z.array(FailureDomain).min(1),
-  profiles: z.array(Profile).min(1),
-  services: z.array(Service).min(1),
-  routes: z.array(Route).default([]),
-  accounts: z.array(Account).default([]),
-  keys: z.array(Key).default([]),
-  targets: z.array(Target).default([])
+  failure_domains: validation.list(FailureDomain, { min: 1 }),
+  profiles: validation.list(Profile, { min: 1 }),
+  services: validation.list(Service, { min: 1 }),
+  routes: validation.list(Route).default([]),
+  accounts: validation.list(Account).default([]),
+  keys: validation.list(Key).default([]),
+  targets: validation.list(Target).default([])
 })
 export type ConfigSet = z.infer<typeof ConfigSet>
 
--- a/src/schema/control.ts
+++ b/src/schema/control.ts
@@ -1,5 +1,6 @@
 /** Schemas of the objects that the system stores in the platform's store. */
 import * as z from 'zod'
+import * as validation from '../validation/index.js'
 import { PriceClass, Role } from './config.js'
 
 /** Order to an engine: change its role, load a model, or drain. */
@@ -16,7 +17,7 @@
   z.object({ type: z.literal('order_target'), service: z.string(), domain: z.string(), price_class: PriceClass }),
   z.object({ type: z.literal('release_target') }),
   /** `window` is the number of the usage window. */
-  z.object({ type: z.literal('report'), window: z.int(), accounts: z.array(z.string()) })
+  z.object({ type: z.literal('report'), window: z.int(), accounts: validation.list(z.string()) })
 ])
 export type IntentBody = z.infer<typeof IntentBody>
 
@@ -29,7 +30,7 @@
   /** Fencing token under which the intent was stored. */
   fence: z.int(),
   /** Incarnations that may have sent the operation. */
-  senders: z.array(z.string()),
+  senders: validation.list(z.string()),
   body: IntentBody
 })
 export type Intent = z.infer<typeof Intent>
@@ -44,14 +45,14 @@
   nonce: z.string(),
   /** Time after which an unrenewed lease lapses, in ms. */
   ttl_ms: z.number().positive(),
-  intents: z.array(Intent),
+  intents: validation.list(Intent),
   /** Number of intents opened so far, from which ids are made; absent means 0. */
   opened: z.int().optional(),
   /**
    * The holder, and former holders that open intents name as senders, with their peer addresses. `retired` is set
    * once a holder has released the lease with no send in flight.
    */
-  holders: z.array(z.object({ incarnation: z.string(), address: z.string(), retired: z.boolean().optional() })).optional()
+  holders: validation.list(z.object({ incarnation: z.string(), address: z.string(), retired: z.boolean().optional() })).optional()
 })
 export type ScopeRecord = z.infer<typeof ScopeRecord>
 
@@ -59,7 +60,7 @@
 export const ConfigHead = z.object({
   /** Increases by one with each configuration. */
   generation: z.int().min(0),
-  chunks: z.array(z.object({ name: z.string(), digest: z.string() }))
+  chunks: validation.list(z.object({ name: z.string(), digest: z.string() }))
 })
 export type ConfigHead = z.infer<typeof ConfigHead>
 
@@ -90,7 +91,7 @@
 export type ClaimRow = z.infer<typeof ClaimRow>
 
 /** Claims of one minute and shard. */
-export const ClaimPage = z.object({ rows: z.array(ClaimRow) })
+export const ClaimPage = z.object({ rows: validation.list(ClaimRow) })
 export type ClaimPage = z.infer<typeof ClaimPage>
 
 /** Usage of a service by an account, cumulative since the start of the incarnation. */
--- a/src/schema/wire.ts
+++ b/src/schema/wire.ts
@@ -1,5 +1,6 @@
 /** Schemas of the messages that callers and engines send over HTTP. */
 import * as z from 'zod'
+import * as validation from '../validation/index.js'
 import { Role } from './config.js'
 
 /** Maximum number of output tokens of a request. */
@@ -49,7 +50,7 @@
 export const EngineState = z.object({
   role: Role,
   /** Loaded models. */
-  models: z.array(z.string()),
+  models: validation.list(z.string()),
   /** Id of the last order the engine finished, empty before the first. */
   last_order: z.string(),
   /** Id of the order in progress, empty when there is none. */
--- a/src/target-clients/http-engine.ts
+++ b/src/target-clients/http-engine.ts
@@ -4,6 +4,7 @@
 import * as bytes from '../bytes/index.js'
 import { Err, Ok, type Result } from '../errors/index.js'
 import { CacheEvent, EngineState, LoadReport, Piece, type EngineOrder } from '../schema/index.js'
+import * as validation from '../validation/index.js'
 import type { ConnectionPools } from './connection-pools.js'
 import { statusError, toTargetError } from './http-errors.js'
 import { readEvents } from './sse.js'
@@ -20,7 +21,7 @@
 
 const StreamEnd = z.object({ prompt_tokens: z.number(), cached_tokens: z.number(), output_tokens: z.number() })
 const StreamEvent = z.union([Piece, z.object({ end: StreamEnd })])
-const CacheEventsRes = z.object({ events: z.array(CacheEvent), next: z.int() })
+const CacheEventsRes = z.object({ events: validation.list(CacheEvent), next: z.int() })
 const OrderRes = z.object({ reply: z.enum(['accepted', 'stale_fence', 'busy']) })
 
 /** Client for one engine at `url`. */
--- a/src/usage/replica-sender.ts
+++ b/src/usage/replica-sender.ts
@@ -4,6 +4,7 @@
 import type { Metrics } from '../metrics/index.js'
 import type { PeerClient } from '../peer/index.js'
 import type { Clock } from '../time/index.js'
+import * as validation from '../validation/index.js'
 import type { UsageCounters } from './usage-counters.js'
 import { encodeRow } from './usage-rows.js'
 
@@ -38,7 +39,7 @@
 
 /** Changed rows of an incarnation. A receiver that held all changes up to `since` holds all up to `seq` afterwards. */
 export const ReplicateReq = z.object({
-  incarnation: z.string(), since: z.int().min(0), seq: z.int().min(0), through: z.int(), rows: z.array(z.string()).max(MAX_MESSAGE_ROWS)
+  incarnation: z.string(), since: z.int().min(0), seq: z.int().min(0), through: z.int(), rows: validation.list(z.string(), { max: MAX_MESSAGE_ROWS })
 })
 export type ReplicateReq = z.infer<typeof ReplicateReq>
 
--- a/src/usage/usage-records.ts
+++ b/src/usage/usage-records.ts
@@ -1,9 +1,10 @@
 /** Usage objects in the store, and their keys. */
 import * as z from 'zod'
 import { UsageRow } from '../schema/index.js'
+import * as validation from '../validation/index.js'
 import { decodeRow, encodeRow } from './usage-rows.js'
 
-const Rows = z.codec(z.array(z.string()), z.array(UsageRow), {
+const Rows = z.codec(validation.list(z.string()), validation.list(UsageRow), {
   decode: (texts) => texts.map(decodeRow),
   encode: (rows) => rows.map(encodeRow)
 })
@@ -36,11 +37,11 @@
    * Incarnations whose usage is in `totals`, with the version of the record read and the first window that included
    * this version.
    */
-  included: z.array(z.object({ incarnation: z.string(), version: z.int(), since: z.int() })),
+  included: validation.list(z.object({ incarnation: z.string(), version: z.int(), since: z.int() })),
   /** Incarnations whose usage was not complete at the close. */
-  missing: z.array(z.string()),
+  missing: validation.list(z.string()),
   /** Incarnations whose usage has moved to `retired`; if a record of one of them appears again, it is ignored. */
-  tombstones: z.array(z.string()),
+  tombstones: validation.list(z.string()),
   /** Sum over incarnations that are completely billed. */
   retired: Rows,
   /** Sum over all incarnations. */
--- a/src/waiting/peer-waiting.ts
+++ b/src/waiting/peer-waiting.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod'
 import type * as exchange from '../exchange/index.js'
 import type * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 import type * as types from './types.js'
 import * as urgency from './urgency.js'
 
@@ -22,7 +23,7 @@
 export const WaitingRow = z.tuple([z.string().max(MAX_POOL_CHARS), z.int().min(0).max(urgency.LEVELS - 1), z.int().nonnegative(), z.int().nonnegative()])
 export type WaitingRow = z.infer<typeof WaitingRow>
 
-const WaitingRows = z.array(WaitingRow).max(MAX_ROWS)
+const WaitingRows = validation.list(WaitingRow, { max: MAX_ROWS })
 
 interface Told {
   readonly kind: exchange.LinkKind
--- /dev/null
+++ b/test/gateway/malformed-cache-changes.test.ts
@@ -0,0 +1,42 @@
+import * as chai from 'chai'
+import * as time from '../../src/time/index.js'
+import type * as deployment from '../emulator/deployment.js'
+import type * as httpServer from '../emulator/http-server.js'
+import * as abusive from '../support/abusive-clients.js'
+
+/** The smallest VM on which a gateway runs. */
+const LIMITS: deployment.VmLimits = { memoryMb: 160, maxFds: 600 }
+
+/** Time for which the engine responds before anything is checked, in ms: several polls. */
+const RESPONDING_MS = 4_000
+
+const BODY_BYTES = 2 * 1024 * 1024
+
+/** Lists of changes whose elements are malformed. */
+const LISTS = {
+  numbers: `[${'0,'.repeat(BODY_BYTES / 2)}0]`,
+  'changes with malformed ids': `[${'[0,"+","",0,1],'.repeat(BODY_BYTES / 15)}0]`
+}
+
+/** An engine that responds to each poll for cache changes with a malformed list, and to calls normally. */
+function respondWith (list: string, onPoll: () => void): httpServer.Handler {
+  return async (req, res) => {
+    req.resume()
+    if (req.url!.startsWith('/-/kv-events')) onPoll()
+    res.end(`{"epoch":"e","next":1,"lost":false,"events":${list}}`)
+  }
+}
+
+// Validation made an error object of several hundred bytes for each element: one response of 1 MiB ended the process at its heap limit.
+describe('a gateway that polls an engine for cache changes', () => {
+  for (const [name, list] of Object.entries(LISTS)) {
+    it(`serves other requests after responses with a list of ${name}`, async () => {
+      let polls = 0
+      await using gateway = await abusive.LimitedGateway.start(LIMITS, respondWith(list, () => polls++))
+      await time.delay(new time.SystemTimers(), RESPONDING_MS)
+      const status = await gateway.request()
+      chai.expect({ status, violations: gateway.violations() }).to.deep.equal({ status: 200, violations: [] })
+      chai.expect(polls).to.be.greaterThan(0)
+    })
+  }
+})
