Bound the responses of targets that are parsed as JSON by what their values take

What callers saw: nothing yet at the heap limit; on a VM of 160 MB a response of 2 MiB to a poll for cache changes made a gateway exceed its memory, for which the platform ends it.

Cause: the decoded value of a JSON text takes up to 30 times its size (4 MiB of nested lists: 116 MB and 0.95 s without a pause; empty objects: 87 MB). Polls took responses of up to 4 MiB, and the response to a prefill was parsed up to 16 MiB: one of 8 MiB ended a process under the flags of the deploy file at its heap limit.

Evidence: test/gateway/malformed-cache-changes.test.ts with the program of the commit before: empty objects, empty lists and nested lists of 2 MiB failed with peaks of 210, 175 and 288 MB on a VM of 160; with this one all seven cases pass. test/platform/decoding.test.ts, "name none when they are large", returned the handle before.

--- a/src/fleet/cache-feed.ts
+++ b/src/fleet/cache-feed.ts
@@ -39,8 +39,8 @@
 /** Smallest segment that other gateways are told of, in tokens: smaller ones are prefilled faster than they are fetched. */
 const MIN_TOLD_TOKENS = 256
 
-/** Largest response, in bytes. */
-const MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+/** Largest response, in bytes: some thousand changes. Its decoded value may take 30 times as much memory. */
+const MAX_RESPONSE_BYTES = 512 * 1024
 
 /** Dependencies of a {@link CacheFeed}. */
 export interface CacheFeedDeps {
--- a/test/gateway/malformed-cache-changes.test.ts
+++ b/test/gateway/malformed-cache-changes.test.ts
@@ -11,11 +11,25 @@
 const RESPONDING_MS = 4_000
 
 const BODY_BYTES = 2 * 1024 * 1024
+const WITHIN_LIMIT_BYTES = 500 * 1024
 
-/** Lists of changes whose elements are malformed. */
+/** Lists of changes whose elements are malformed, and lists whose decoded value takes many times the memory of their text. */
 const LISTS = {
-  numbers: `[${'0,'.repeat(BODY_BYTES / 2)}0]`,
-  'changes with malformed ids': `[${'[0,"+","",0,1],'.repeat(BODY_BYTES / 15)}0]`
+  numbers: listOf('0', BODY_BYTES),
+  'changes with malformed ids': listOf('[0,"+","",0,1]', BODY_BYTES),
+  'empty objects': listOf('{}', BODY_BYTES),
+  'empty lists': listOf('[]', BODY_BYTES),
+  'nested lists': nestedLists(BODY_BYTES),
+  'empty objects within the limit on the response': listOf('{}', WITHIN_LIMIT_BYTES),
+  'nested lists within the limit on the response': nestedLists(WITHIN_LIMIT_BYTES)
+}
+
+function listOf (element: string, bytes: number): string {
+  return `[${`${element},`.repeat(bytes / (element.length + 1))}${element}]`
+}
+
+function nestedLists (bytes: number): string {
+  return '['.repeat(bytes / 2) + ']'.repeat(bytes / 2)
 }
 
 /** An engine that responds to each poll for cache changes with a malformed list, and to calls normally. */
@@ -27,10 +41,11 @@
   }
 }
 
-// Validation made an error object of several hundred bytes for each element: one response of 1 MiB ended the process at its heap limit.
+// One response of 1 MiB ended the process at its heap limit: validation made an error object of several hundred bytes for each
+// malformed element. One of 2 MiB exceeded the memory of the smallest VM: its decoded value took 30 times as much.
 describe('a gateway that polls an engine for cache changes', () => {
   for (const [name, list] of Object.entries(LISTS)) {
-    it(`serves other requests after responses with a list of ${name}`, async () => {
+    it(`serves other requests after responses with ${name}`, async () => {
       let polls = 0
       await using gateway = await abusive.LimitedGateway.start(LIMITS, respondWith(list, () => polls++))
       await time.delay(new time.SystemTimers(), RESPONDING_MS)
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -54,6 +54,21 @@
   })
 })
 
+describe('responses to a prefill', () => {
+  const protocol = new targetProtocol.HttpTargetProtocol()
+  const decode = (text: string): string | undefined => protocol.decodeKvHandle(Buffer.from(text))
+
+  it('name the handle of a KV cache', () => {
+    chai.expect(decode('{"kvHandle":"h-1","tokens":5,"version":1}')).to.equal('h-1')
+  })
+
+  // The decoded value of a response of 8 MiB ended the process at its heap limit.
+  it('name none when they are large', () => {
+    chai.expect(decode(`{"kvHandle":"h-1","x":${'['.repeat(100_000)}${']'.repeat(100_000)}}`)).to.equal(undefined)
+    chai.expect(decode(`{"kvHandle":"${'h'.repeat(8_000)}"}`)).to.equal(undefined)
+  })
+})
+
 describe('quotas', () => {
   it('are decoded per ms; without a rate there is none, and without a unit they count requests', () => {
     const tenants = [{ ratePerS: 5_000, burst: 9_000, unit: 'tokens', plainTokens: 200 }, { ratePerS: 0, burst: 9 }, { ratePerS: 4, burst: 8 }, {}].map((fields, index) => ({ name: `t${index}`, apiKeys: [], ...fields }))
