Tests: choose ports that no outgoing connection takes

Cause: the emulator asked the kernel for a free port, released it, and started a process that was to listen on it. The kernel gives ports of the same range to outgoing connections, and an open one keeps a listener from its port (shown alone: EADDRINUSE). Seen today in test/gateway/malformed-cache-changes.test.ts, once: a gateway waited 20 s for its port, and before in test/emulator/restore.test.ts. Who held the port in these two runs is not known.

--- a/test/emulator/deployment.ts
+++ b/test/emulator/deployment.ts
@@ -4,6 +4,7 @@
 import * as os from 'node:os'
 import * as path from 'node:path'
 import type * as time from '../../src/time/index.js'
+import * as portChoice from '../support/ports.js'
 import * as engineServer from './engine-server.js'
 import * as httpServer from './http-server.js'
 import * as observations from './observations.js'
@@ -204,7 +205,7 @@
 
   private async addGateway (index: number, nodeArgs: readonly string[], limits: VmLimits | undefined): Promise<void> {
     const ports: number[] = []
-    for (let count = 0; count < 5; count++) ports.push(await httpServer.freePort())
+    for (let count = 0; count < 5; count++) ports.push(await portChoice.freePort())
     const [front, ready, directory, peer, metrics] = ports.map((port) => `${httpServer.HOST}:${port}`) as [string, string, string, string, string]
     const name = `gateway-${index}`
     const settingsPath = path.join(this.dir, `${name}.json`)
--- a/test/emulator/http-server.ts
+++ b/test/emulator/http-server.ts
@@ -59,9 +59,3 @@
   const body = await readBody(req)
   return body.length === 0 ? undefined : JSON.parse(body.toString())
 }
-
-/** A port on loopback that was free just now. */
-export async function freePort (): Promise<number> {
-  await using server = await HttpServer.listen(async () => {})
-  return server.port
-}
--- a/test/gateway/caller-limits.test.ts
+++ b/test/gateway/caller-limits.test.ts
@@ -6,7 +6,7 @@
 import * as resources from '../../src/resources/index.js'
 import * as time from '../../src/time/index.js'
 import * as callerProtocol from '../../platform/caller-protocol.js'
-import * as support from '../support/gateway-process.js'
+import * as ports from '../support/ports.js'
 import * as raw from '../support/raw-caller.js'
 
 const BODY_BYTES = 4 * 1024 * 1024
@@ -42,7 +42,7 @@
   }
 
   async listen (): Promise<void> {
-    this.port = await support.freePort()
+    this.port = await ports.freePort()
     await this.frontend.listen('127.0.0.1', this.port)
   }
 
--- a/test/gateway/connection-policy.test.ts
+++ b/test/gateway/connection-policy.test.ts
@@ -6,6 +6,7 @@
 import * as time from '../../src/time/index.js'
 import * as callerProtocol from '../../platform/caller-protocol.js'
 import * as support from '../support/gateway-process.js'
+import * as ports from '../support/ports.js'
 import * as raw from '../support/raw-caller.js'
 
 const LENGTH_1 = ['Content-Length: 1']
@@ -213,7 +214,7 @@
       log: log.SILENT_LOGGER,
       metrics: new metrics.Metrics()
     })
-    const port = await support.freePort()
+    const port = await ports.freePort()
     await frontend.listen('127.0.0.1', port)
     using caller = new raw.RawCaller(port)
     caller.send(raw.requestHead('r1', ['Content-Length: 3000000']))
--- a/test/support/gateway-process.ts
+++ b/test/support/gateway-process.ts
@@ -12,6 +12,7 @@
 import * as servingConfig from '../../platform/serving-config.js'
 import * as targetEntry from '../../platform/target-entry.js'
 import * as targetProtocol from '../../platform/target-protocol.js'
+import * as ports from './ports.js'
 
 const HOST = '127.0.0.1'
 
@@ -53,9 +54,8 @@
   /** Starts the gateway and waits until it is ready. */
   async start (config: object = CONFIG, graceMs = 8_000): Promise<void> {
     await this.store.put(servingConfig.CONFIG_KEY, JSON.stringify(config), 'absent')
-    const ports = await freePorts(2)
-    this.callerPort = ports[0]!
-    this.peerPort = ports[1]!
+    this.callerPort = await ports.freePort()
+    this.peerPort = await ports.freePort()
     const logOutput = { write: (line: string) => this.lines.push(line.trim()) > 0 }
     this.node = new gateway.GatewayNode({
       settings: {
@@ -160,19 +160,3 @@
     this.socket.destroy()
   }
 }
-
-/** A port on which nothing listens. */
-export async function freePort (): Promise<number> {
-  return (await freePorts(1))[0]!
-}
-
-async function freePorts (count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => http.createServer())
-  const ports: number[] = []
-  for (const server of servers) {
-    await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
-    ports.push((server.address() as net.AddressInfo).port)
-  }
-  for (const server of servers) await new Promise<void>((resolve) => { server.close(() => resolve()) })
-  return ports
-}
