Remove both listeners of an attempt to listen

Cause: server.listen with a callback leaves it at the server when the port is in use, so each attempt added one; the process printed a warning about a leak after a second.

Change: both listeners of an attempt go when either fires. test/sockets/listen.test.ts found 5 listeners after 500 ms before, and passes.

--- a/src/sockets/listen.ts
+++ b/src/sockets/listen.ts
@@ -33,10 +33,13 @@
 
 async function tryListen (server: net.Server, options: net.ListenOptions): Promise<NodeJS.ErrnoException | undefined> {
   return await new Promise((resolve) => {
-    server.once('error', resolve)
-    server.listen(options, () => {
-      server.off('error', resolve)
-      resolve(undefined)
-    })
+    const settle = (err?: NodeJS.ErrnoException): void => {
+      server.off('error', settle)
+      server.off('listening', settle)
+      resolve(err)
+    }
+    server.once('error', settle)
+    server.once('listening', settle)
+    server.listen(options)
   })
 }
