Poll an engine more rarely while its responses are malformed, and log them

Change: the pause doubles with each malformed response in succession, from 1 s to 30 s; one that can be applied ends that. Polls without a response are repeated after a second as before: engines that return are to be followed soon. Each malformed response has a log line with its reason, and so a counter. Calls are sent to the engine as before: a few spoiled polls say little of them. The poll itself is a module of its own.

--- a/src/fleet/cache-feed.ts
+++ b/src/fleet/cache-feed.ts
@@ -1,10 +1,7 @@
 /** Polls engines for changes of the prompt segments in their KV caches. */
-import * as bytes from '../bytes/index.js'
 import type * as calls from '../call/index.js'
 import * as hash from '../hash/index.js'
-import type * as log from '../log/index.js'
-import type * as time from '../time/index.js'
-import type * as upstream from '../upstream/index.js'
+import * as cachePoll from './cache-poll.js'
 import type * as fleet from './fleet.js'
 import type * as targetState from './target-state.js'
 
@@ -17,8 +14,9 @@
 /** Time from a response to the next poll of the engine, in ms; lets changes accumulate. */
 const POLL_PAUSE_MS = 250
 
-/** Time from a failed poll to the next one, in ms. */
+/** Time from a failed poll to the next one, in ms; doubles with each malformed response in succession, up to the maximum. */
 const RETRY_PAUSE_MS = 1_000
+const MAX_RETRY_PAUSE_MS = 30_000
 
 /** Hold time and allowance of an engine's first poll, in ms; its response is all that the engine has recorded. */
 const INITIAL_LONG_POLL_MS = 250
@@ -39,20 +37,13 @@
 /** Smallest segment that other gateways are told of, in tokens: smaller ones are prefilled faster than they are fetched. */
 const MIN_TOLD_TOKENS = 256
 
-/** Largest response, in bytes: some thousand changes. Its decoded value may take 30 times as much memory. */
-const MAX_RESPONSE_BYTES = 512 * 1024
-
 /** Dependencies of a {@link CacheFeed}. */
-export interface CacheFeedDeps {
-  readonly env: time.Env
+export interface CacheFeedDeps extends cachePoll.CachePollDeps {
   readonly fleet: fleet.Fleet
-  readonly upstream: upstream.Upstream
-  readonly protocol: calls.CacheProtocol
   /** Name of this gateway. */
   readonly selfName: string
   /** Names of the running gateways, this one included. */
   readonly gateways: () => readonly string[]
-  readonly log: log.Logger
 }
 
 /**
@@ -83,46 +74,44 @@
     }
   }
 
-  private startFollowing (state: targetState.TargetState): void {
+  private async startFollowing (state: targetState.TargetState): Promise<void> {
     state.followed = true
     this.initialPolls++
-    this.fetchChanges(state, 0, INITIAL_LONG_POLL_MS, INITIAL_RESPONSE_GRACE_MS).then((batch) => {
-      this.initialPolls--
-      this.applyAndSchedule(state, batch, { epoch: undefined, since: 0 })
-      if (this.timer !== undefined) this.followTargets()
-    }, (err: unknown) => this.deps.log.error({ err, target: state.record.id }, 'cache_feed_failed'))
+    await this.poll(state, START, INITIAL_LONG_POLL_MS, INITIAL_RESPONSE_GRACE_MS)
+    this.initialPolls--
+    if (this.timer !== undefined) this.followTargets()
   }
 
-  private pollTarget (state: targetState.TargetState, position: Position): void {
+  private pollAgain (state: targetState.TargetState, position: Position): void {
     if (this.timer === undefined || state.removed || !this.followersOf(state).includes(this.deps.selfName)) {
       state.followed = false
       return
     }
     const refusedMs = state.refusesForMs(this.deps.env.clock.now())
-    if (refusedMs > 0) {
-      this.deps.env.timers.after(refusedMs, () => this.pollTarget(state, position))
-      return
-    }
-    this.fetchChanges(state, position.since, LONG_POLL_MS, RESPONSE_GRACE_MS).then(
-      (batch) => this.applyAndSchedule(state, batch, position),
-      (err: unknown) => this.deps.log.error({ err, target: state.record.id }, 'cache_feed_failed')
-    )
-  }
-
-  private applyAndSchedule (state: targetState.TargetState, batch: calls.CacheChanges | undefined, position: Position): void {
-    const next = batch === undefined ? position : this.apply(state, batch, position)
-    this.deps.env.timers.after(batch === undefined ? RETRY_PAUSE_MS : POLL_PAUSE_MS, () => this.pollTarget(state, next))
+    if (refusedMs > 0) this.deps.env.timers.after(refusedMs, () => this.pollAgain(state, position))
+    else this.poll(state, position, LONG_POLL_MS, RESPONSE_GRACE_MS)
   }
 
-  // A poll that fails in an unexpected way counts as one without a response, so that the engine is polled again.
-  private async fetchChanges (state: targetState.TargetState, since: number, waitMs: number, graceMs: number): Promise<calls.CacheChanges | undefined> {
-    const { protocol, log } = this.deps
+  /** Polls once, applies the response and schedules the next poll; never rejects. */
+  private async poll (state: targetState.TargetState, position: Position, holdMs: number, graceMs: number): Promise<void> {
+    const outcome = await cachePoll.pollCache(this.deps, state, { since: position.since, holdMs, graceMs })
     try {
-      const body = await this.fetchBody(state, protocol.encodeCacheQuery(state.record, since, waitMs), waitMs + graceMs)
-      return body === undefined ? undefined : protocol.decodeCacheChanges(body)
+      const next = this.positionAfter(state, outcome, position)
+      this.deps.env.timers.after(pauseAfter(outcome, next), () => this.pollAgain(state, next))
     } catch (err) {
-      log.error({ err, target: state.record.id }, 'cache_feed_failed')
-      return undefined
+      this.deps.log.error({ err, target: state.record.id }, 'cache_feed_failed')
+    }
+  }
+
+  private positionAfter (state: targetState.TargetState, outcome: cachePoll.CachePollOutcome, position: Position): Position {
+    switch (outcome.kind) {
+      case 'changes': return this.apply(state, outcome.changes, position)
+      case 'failed': return position
+      case 'malformed': {
+        const malformedResponses = position.malformedResponses + 1
+        this.deps.log.warn({ target: state.record.id, reason: outcome.reason, in_succession: malformedResponses }, 'cache_changes_malformed')
+        return { ...position, malformedResponses }
+      }
     }
   }
 
@@ -144,34 +133,7 @@
       if (restarted) this.deps.fleet.cacheUpdates.addRestart(state.record.id)
       this.deps.fleet.cacheUpdates.add(state.record.id, told)
     }
-    return { epoch: batch.epoch, since: batch.next }
-  }
-
-  /** The body of a complete response with status 200, whose load report is applied; undefined for any other outcome. */
-  private async fetchBody (state: targetState.TargetState, req: calls.CacheQuery, timeoutMs: number): Promise<Uint8Array | undefined> {
-    return await new Promise((resolve) => {
-      const collector = new bytes.ByteCollector(MAX_RESPONSE_BYTES)
-      let ok = false
-      const timer = this.deps.env.timers.after(timeoutMs, () => { request.abort(); resolve(undefined) })
-      const settle = (body: Uint8Array | undefined): void => {
-        timer[Symbol.dispose]()
-        resolve(body)
-      }
-      const request = this.deps.upstream.send({ address: state.record.address, ...req, body: new Uint8Array(0), nonIdempotent: false }, {
-        onHead: (status, headers) => {
-          ok = status === 200
-          const load = ok ? this.deps.protocol.decodeLoad(headers) : undefined
-          if (load !== undefined) state.applyReportedLoad(load, this.deps.env.clock.now())
-        },
-        onData: (chunk) => {
-          if (collector.add(chunk)) return
-          request.abort()
-          settle(undefined)
-        },
-        onEnd: () => settle(ok ? collector.take() : undefined),
-        onError: () => settle(undefined)
-      })
-    })
+    return { epoch: batch.epoch, since: batch.next, malformedResponses: 0 }
   }
 }
 
@@ -179,4 +141,17 @@
 interface Position {
   readonly epoch: number | string | undefined
   readonly since: number
+  /** Malformed responses since the last one that could be applied. */
+  readonly malformedResponses: number
+}
+
+const START: Position = { epoch: undefined, since: 0, malformedResponses: 0 }
+
+/** Time from a poll to the next one, in ms. */
+function pauseAfter (outcome: cachePoll.CachePollOutcome, { malformedResponses }: Position): number {
+  switch (outcome.kind) {
+    case 'changes': return POLL_PAUSE_MS
+    case 'failed': return RETRY_PAUSE_MS
+    case 'malformed': return Math.min(MAX_RETRY_PAUSE_MS, RETRY_PAUSE_MS * 2 ** (malformedResponses - 1))
+  }
 }
--- a/test/fleet/cache.test.ts
+++ b/test/fleet/cache.test.ts
@@ -18,8 +18,8 @@
   return (updates.changesSince(FELLOW, position)?.payload ?? []) as fleet.CacheRow[]
 }
 
-/** A feed over 20 engines; each engine responds to a poll after 1 s. */
-function setUp (selfName: string, gateways: readonly string[], failingPolls = 0) {
+/** A feed over 20 engines; each engine responds to a poll after 1 s. The first polls fail, or get a malformed response. */
+function setUp (selfName: string, gateways: readonly string[], { failingPolls = 0, malformedPolls = 0 } = {}) {
   const virtual = new time.VirtualTime()
   const knownTargets = build.aFleet(virtual, Array.from({ length: 20 }, (_, index) => build.aTarget(`e${index}`, { stage: 'decode' })))
   const protocol: calls.CacheProtocol = {
@@ -27,7 +27,7 @@
     encodeCacheQuery: () => ({ method: 'GET', path: '/', headers: [] }) as unknown as calls.CacheQuery,
     decodeCacheChanges: () => {
       if (failingPolls-- > 0) throw new Error('cannot decode')
-      return CHANGES
+      return malformedPolls-- > 0 ? undefined : CHANGES
     }
   }
   let polls = 0
@@ -64,13 +64,26 @@
   })
 
   it('polls an engine again whose first poll failed in an unexpected way, and the other engines too', async () => {
-    const { virtual, knownTargets, pollCount } = setUp('g0', ['g0'], 3)
+    const { virtual, knownTargets, pollCount } = setUp('g0', ['g0'], { failingPolls: 3 })
     await virtual.advance(12_000)
     chai.expect([...knownTargets.all()].filter((state) => state.cache.tokensOf('p') === 1_000)).to.have.length(20)
     chai.expect(pollCount()).to.be.greaterThan(23)
     chai.expect([...knownTargets.all()].some((state) => state.load(virtual.now()) > 0), 'load reported in responses to polls').to.equal(true)
   })
 
+  // An engine that spoiled each of its responses was polled each second; decoding them cost the gateway its time and memory.
+  it('polls an engine ever more rarely while its responses are malformed, and as before once one is sound', async () => {
+    const engines = 20
+    const { virtual, knownTargets, pollCount, feed } = setUp('g0', ['g0'], { malformedPolls: 6 * engines })
+    await virtual.advance(60_000)
+    const whileMalformed = pollCount()
+    chai.expect(whileMalformed).to.be.within(5 * engines, 6 * engines)
+    await virtual.advance(60_000)
+    chai.expect([...knownTargets.all()].filter((state) => state.cache.tokensOf('p') === 1_000)).to.have.length(engines)
+    chai.expect(pollCount() - whileMalformed).to.be.greaterThan(15 * engines)
+    feed[Symbol.dispose]()
+  })
+
   it('polls every engine when there are only four gateways, and tells the others nothing', async () => {
     const { virtual, knownTargets, feed } = setUp('g0', ['g0', 'g1', 'g2', 'g3'])
     await virtual.advance(8_000)
