Drop the least recently updated segment of a cache estimate in constant time

Cause: each segment beyond the bound of 20,000 made a new iterator of the map, which passes all entries that were deleted before the oldest one.

--- a/src/fleet/cache-estimate.ts
+++ b/src/fleet/cache-estimate.ts
@@ -24,6 +24,8 @@
 /** Cached tokens of each segment, as the target reported them or as this gateway's calls suggest. */
 export class CacheEstimate {
   private readonly segments = new Map<string, CachedSegment>()
+  /** Goes on from the last segment dropped: a new iterator would pass all entries deleted before it each time. */
+  private readonly leastRecentlyUpdated = this.segments.keys()
   /** Tokens of all segments, and tokens of all segments that were ever added. */
   private tokens = 0
   private addedTokens = 0
@@ -110,7 +112,7 @@
     this.tokens += tokens - known
     this.addedTokens += Math.max(0, tokens - known)
     this.segments.set(id, { tokens, confirmedAt: this.addedTokens })
-    if (this.segments.size > MAX_SEGMENTS) this.drop(this.segments.keys().next().value!)
+    if (this.segments.size > MAX_SEGMENTS) this.drop(this.leastRecentlyUpdated.next().value!)
   }
 
   private drop (id: string): void {
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -145,6 +145,23 @@
 })
 
 describe('CacheEstimate', () => {
+  // Each segment beyond the bound passed all deleted ones before the oldest: 80,000 changes stopped the process for seconds.
+  it('drops the least recently updated segments beyond its bound, also after it was emptied, in a time that does not grow', () => {
+    const bound = 20_000
+    const estimate = new fleet.CacheEstimate()
+    const startedAt = performance.now()
+    for (const round of ['a', 'b']) {
+      for (let index = 0; index < 100_000; index++) {
+        estimate.applyReport(`${round}-${index}`, 10)
+        if (index % 1_000 === 0) estimate.applyReport(`${round}-0`, 20)
+      }
+      chai.expect([`${round}-0`, `${round}-99999`, `${round}-80001`, `${round}-80000`].map((id) => estimate.tokensOf(id))).to.deep.equal([20, 10, 10, 0])
+      chai.expect(estimate.totalTokens).to.equal(20 + (bound - 1) * 10)
+      estimate.clear()
+    }
+    chai.expect(performance.now() - startedAt).to.be.lessThan(1_000)
+  })
+
   const prompt = { promptTokens: 300, outputTokens: 1, segments: [{ id: 'a', tokens: 200 }, { id: 'b', tokens: 50 }, { id: 'c', tokens: 50 }] }
 
   it('counts segments only up to the first that is not completely cached', () => {
