--- a/src/validation/collections.ts
+++ b/src/validation/collections.ts
@@ -15,8 +15,8 @@
 
 /** An array whose elements match `item`. */
 export function list<S extends z.ZodType> (item: S, { min = 0, max = Infinity }: ListBounds = {}) {
-  const elements: z.ZodType<z.input<S>[], z.input<S>[]> = z.array(z.any()).min(min).max(max)
-  return z.codec(elements, z.custom<z.output<S>[]>(), {
+  const undecoded: z.ZodType<z.input<S>[], z.input<S>[]> = z.array(z.any()).min(min).max(max)
+  return z.codec(undecoded, z.custom<z.output<S>[]>(), {
     decode: (elements, ctx) => decodeElements(item, elements, 0, ctx.issues),
     encode: (elements) => elements.map((element) => z.encode(item, element))
   })
