Decode JSON texts of others in one place

Cause: "parse, or undefined" stood in platform/json and duties/usage-closer, and "decode by a schema, or undefined" in duties/stored-json, the directory and the quarantine records.

Change: parseJson and decodeJson of src/validation take their place. Behaviour is the same, but that an error other than one of the syntax is no longer thrown out of duties/stored-json; JSON.parse has none.

--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -4,6 +4,7 @@
 import * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 
 /** Key prefix of the objects with which gateways register. */
 export const GATEWAYS_PREFIX = 'godwitpoint-gateways/'
@@ -218,10 +219,5 @@
 
 /** Other writers may put anything there: undefined for an object that is no record of a gateway. */
 function decodeRecord (text: string): exchange.GatewayRecord | undefined {
-  if (text.length > MAX_RECORD_CHARS) return undefined
-  try {
-    return exchange.GatewayRecord.parse(JSON.parse(text))
-  } catch {
-    return undefined
-  }
+  return text.length > MAX_RECORD_CHARS ? undefined : validation.decodeJson(exchange.GatewayRecord, text)
 }
--- a/src/duties/lease.ts
+++ b/src/duties/lease.ts
@@ -3,8 +3,8 @@
 import type * as log from '../log/index.js'
 import type * as serving from '../serving/index.js'
 import * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 import * as z from 'zod'
-import * as storedJson from './stored-json.js'
 import type * as types from './types.js'
 
 /** Key of the lease object. */
@@ -148,7 +148,7 @@
     const { version } = stored.val
     if (external.eraOf(version) < this.era) return
     this.seenVersion = Math.max(this.seenVersion, version)
-    const value = storedJson.decodeStored(LeaseValue, stored.val)
+    const value = validation.decodeJson(LeaseValue, stored.val.value)
     const isOwn = value !== undefined && value.incarnation === this.deps.incarnation && !value.released
     if (isOwn && mode === 'stale_ok') return await this.check('default')
     if (isOwn && this.isCurrent(value, version)) {
--- a/src/duties/target-orders.ts
+++ b/src/duties/target-orders.ts
@@ -10,7 +10,6 @@
 import type * as lease from './lease.js'
 import * as orderPlan from './order-plan.js'
 import * as orderRecord from './order-record.js'
-import * as storedJson from './stored-json.js'
 import type * as types from './types.js'
 
 /** Key of the initial sizes: the number of targets of each service when the system was first started. */
@@ -113,7 +112,7 @@
     if (this.sizes !== undefined && this.sizesEra !== undefined && this.sizesEra === this.deps.eras.current) return this.sizes
     const stored = await this.deps.store.get(SIZES_KEY)
     if (stored.err) return undefined
-    const sizes = stored.val === undefined ? undefined : storedJson.decodeStored(Sizes, stored.val)
+    const sizes = stored.val === undefined ? undefined : validation.decodeJson(Sizes, stored.val.value)
     if (stored.val === undefined || sizes === undefined) return await this.storeSizes(services, stored.val?.version ?? 'absent')
     this.sizes = sizes
     this.sizesEra = external.eraOf(stored.val.version)
--- a/src/duties/usage-closer.ts
+++ b/src/duties/usage-closer.ts
@@ -2,6 +2,7 @@
 import * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 import type * as lease from './lease.js'
 import type * as types from './types.js'
 import type * as usageCollector from './usage-collector.js'
@@ -205,21 +206,13 @@
 
 /** Counts by process; those that were stored before a process stored others' too are of the process that the key names. */
 function decodeCounts (object: external.StoredObject): usageCounts.ProcessCounts | undefined {
-  const value = parseJson(object.value)
+  const value = validation.parseJson(object.value)
   const processes = usageCounts.ProcessCounts.safeParse(value)
   if (processes.success) return processes.data
   const windows = usageCounts.WindowCounts.safeParse(value)
   return windows.success ? { [object.key.slice(usageLedger.COUNTS_PREFIX.length)]: windows.data } : undefined
 }
 
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
-
 function mergeCounts (into: usageCounts.ProcessCounts, counts: usageCounts.ProcessCounts): void {
   for (const [process, windows] of Object.entries(counts)) usageCounts.mergeWindows(into[process] ??= {}, windows)
 }
--- a/src/quarantine/quarantine-records.ts
+++ b/src/quarantine/quarantine-records.ts
@@ -6,6 +6,7 @@
 import type * as external from '../external/index.js'
 import type * as log from '../log/index.js'
 import * as time from '../time/index.js'
+import * as validation from '../validation/index.js'
 import * as types from './types.js'
 
 /** Key prefix of the stored segments. */
@@ -141,9 +142,5 @@
 
 /** Other writers may put anything there: undefined for an object that is no stored segment. */
 function decodeRecord (text: string): z.infer<typeof QuarantineRecord> | undefined {
-  try {
-    return QuarantineRecord.parse(JSON.parse(text))
-  } catch {
-    return undefined
-  }
+  return validation.decodeJson(QuarantineRecord, text)
 }
