Share the schemas at both ends of lists and records

Change: all share one schema for their undecoded and one for their decoded end. Bounds are made only where given.

--- a/src/validation/collections.ts
+++ b/src/validation/collections.ts
@@ -13,18 +13,29 @@
   readonly max?: number
 }
 
+// Schemas of zod take several KiB each, so all lists and records share those of their two ends.
+const UndecodedList = z.array(z.any())
+const UndecodedRecord = z.record(z.string(), z.any())
+const Decoded = z.custom<any>()
+
 /** An array whose elements match `item`. */
-export function list<S extends z.ZodType> (item: S, { min = 0, max = Infinity }: ListBounds = {}) {
-  const undecoded: z.ZodType<z.input<S>[], z.input<S>[]> = z.array(z.any()).min(min).max(max)
-  return z.codec(undecoded, z.custom<z.output<S>[]>(), {
+export function list<S extends z.ZodType> (item: S, bounds?: ListBounds) {
+  const undecoded: z.ZodType<z.input<S>[], z.input<S>[]> = bounds === undefined ? UndecodedList : boundedList(bounds)
+  const decoded: z.ZodType<z.output<S>[], z.output<S>[]> = Decoded
+  return z.codec(undecoded, decoded, {
     decode: (elements, ctx) => decodeElements(item, elements, 0, ctx.issues),
     encode: (elements) => elements.map((element) => z.encode(item, element))
   })
 }
 
+function boundedList ({ min = 0, max = Infinity }: ListBounds): typeof UndecodedList {
+  return UndecodedList.min(min).max(max)
+}
+
 /** An object with any number of keys that match `key` and values that match `value`. */
 export function record<K extends z.ZodType<string>, V extends z.ZodType> (key: K, value: V) {
-  return z.codec(z.record(z.string(), z.unknown()), z.custom<Record<string, z.output<V>>>(), {
+  const decoded: z.ZodType<Record<string, z.output<V>>, Record<string, z.output<V>>> = Decoded
+  return z.codec(UndecodedRecord, decoded, {
     decode: (object, ctx) => decodeRecord(key, value, object, ctx.issues),
     encode: (object) => Object.fromEntries(Object.entries(object).map(([name, field]) => [name, z.encode(value, field)]))
   })
@@ -32,7 +43,8 @@
 
 /** A tuple of a text that matches `first` and any number of elements that match `rest`. */
 export function tupleWithRest<R extends z.ZodType> (first: z.ZodString, rest: R) {
-  return z.codec(z.tuple([first], z.unknown()), z.custom<[string, ...z.output<R>[]]>(), {
+  const decoded: z.ZodType<[string, ...z.output<R>[]], [string, ...z.output<R>[]]> = Decoded
+  return z.codec(z.tuple([first], z.unknown()), decoded, {
     decode: ([text, ...others], ctx): [string, ...z.output<R>[]] => [text, ...decodeElements(rest, others, 1, ctx.issues)],
     encode: ([text, ...others]): [string, ...unknown[]] => [text, ...others.map((element) => z.encode(rest, element))]
   })
