Test malformed cache changes also within the limit on the response

Cause: since the limit of 512 KiB, lists of 2 MiB are not decoded, so the case of numbers did not guard the validation any longer.

Change: a case with numbers within the limit.

--- a/test/gateway/malformed-cache-changes.test.ts
+++ b/test/gateway/malformed-cache-changes.test.ts
@@ -7,7 +7,7 @@
 /** The smallest VM on which a gateway runs. */
 const LIMITS: deployment.VmLimits = { memoryMb: 160, maxFds: 600 }
 
-/** Time for which the engine responds before anything is checked, in ms: several polls. */
+/** Time for which the engine responds before anything is checked, in ms: some polls. */
 const RESPONDING_MS = 4_000
 
 const BODY_BYTES = 2 * 1024 * 1024
@@ -20,6 +20,7 @@
   'empty objects': listOf('{}', BODY_BYTES),
   'empty lists': listOf('[]', BODY_BYTES),
   'nested lists': nestedLists(BODY_BYTES),
+  'numbers within the limit on the response': listOf('0', WITHIN_LIMIT_BYTES),
   'empty objects within the limit on the response': listOf('{}', WITHIN_LIMIT_BYTES),
   'nested lists within the limit on the response': nestedLists(WITHIN_LIMIT_BYTES)
 }
@@ -32,7 +33,7 @@
   return '['.repeat(bytes / 2) + ']'.repeat(bytes / 2)
 }
 
-/** An engine that responds to each poll for cache changes with a malformed list, and to calls normally. */
+/** An engine that responds to each request with a malformed list of changes. */
 function respondWith (list: string, onPoll: () => void): httpServer.Handler {
   return async (req, res) => {
     req.resume()
