--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -1,36 +1,23 @@
-import * as net from 'node:net'
+import type * as net from 'node:net'
 import * as chai from 'chai'
 import * as metrics from '../../src/metrics/index.js'
 import * as time from '../../src/time/index.js'
 import * as upstream from '../../src/upstream/index.js'
+import * as byteServer from '../support/byte-server.js'
 
 type Script = (socket: net.Socket, request: string, index: number) => void
 
 /** A server that responds to each request as its script does. */
-class ScriptedServer implements AsyncDisposable {
+class ScriptedServer extends byteServer.ByteServer {
   connections = 0
   private requests = 0
-  private readonly server: net.Server
-  private readonly sockets = new Set<net.Socket>()
 
   constructor (script: Script) {
-    this.server = net.createServer((socket) => {
+    super((socket) => {
       this.connections++
-      this.sockets.add(socket)
-      socket.on('error', () => socket.destroy())
       socket.on('data', (data) => script(socket, data.toString('latin1'), this.requests++))
     })
   }
-
-  async listen (): Promise<string> {
-    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve))
-    return `127.0.0.1:${(this.server.address() as net.AddressInfo).port}`
-  }
-
-  async [Symbol.asyncDispose] (): Promise<void> {
-    for (const socket of this.sockets) socket.destroy()
-    await new Promise<void>((resolve) => this.server.close(() => resolve()))
-  }
 }
 
 interface Outcome {
