Tell a reset from an end also while a request is being written

Callers got a part of a body as a whole response: a server responded to a long request at once with a 200 without a length, sent some of the body and reset the connection while the request was still being written. Streams were cut short in the same way.

Cause: when data and a reset arrive together, libuv reports the data and an end, and undici takes that, like the code ECONNRESET, as the end of a response without a length. Connection told the two apart by a write at the end, but that write only joins the queue while the request waits there, so its error came after the response had been passed on. It also took each error of the write for a reset: a whole response whose server ended its side and reset the connection afterwards was answered with 502.

Change: src/sockets holds back an end on a connection that has lost its peer until a write has failed, the one that waits or a probe. ECONNRESET means a reset, EPIPE that the server had ended its side before. A reset becomes an error with a code of its own, which undici does not take as an end. The probe is written only when the connection is closed already, so that no server gets it, and the framing of the response does not matter.

Ruled out: the address of the peer alone, which is gone also when an end came before the reset.

--- a/src/sockets/index.ts
+++ b/src/sockets/index.ts
@@ -1,2 +1,4 @@
-/** Sockets that listen. */
+/** Sockets that listen, and connections for HTTP clients. */
 export { listen, type ListenDeps } from './listen.js'
+export { createConnector } from './connector.js'
+export { ConnectionResetError } from './reset-detector.js'
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -1,7 +1,8 @@
 /** One HTTP connection to a target. */
 import type * as net from 'node:net'
-import type * as time from '../time/index.js'
 import * as undici from 'undici'
+import * as sockets from '../sockets/index.js'
+import type * as time from '../time/index.js'
 import type * as types from './types.js'
 
 /** Timeout for opening a connection, in ms; targets are in the same region. */
@@ -39,10 +40,6 @@
   /** Bytes received up to the last part of a body, or the last request. */
   private bytesUpToBody = 0
   closed = false
-  /** Whether the connection was reset; undici takes a reset as the end of a close-delimited response. */
-  wasReset = false
-  /** Whether the current response has no length and is delimited by the close of the connection. */
-  closeDelimited = false
 
   constructor (readonly address: string, private readonly clock: time.Clock, private readonly onClosed: (connection: Connection) => void, private readonly onReceived?: (bytes: number) => void) {
     this.client = new undici.Client(`http://${address}`, {
@@ -59,26 +56,15 @@
   }
 
   private createConnector (): undici.buildConnector.connector {
-    const options = { timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true }
-    const connect = undici.buildConnector(options)
+    const connect = sockets.createConnector(CONNECT_TIMEOUT_MS)
     return (opts, callback) => connect(opts, (...args) => {
       const socket = args[1]
-      socket?.once('error', () => { this.wasReset = true })
-      socket?.once('end', () => this.probeForReset(socket))
       socket?.on('readable', () => this.checkBytesWithoutBody(socket))
       this.socket = socket ?? undefined
       callback(...args)
     })
   }
 
-  // When data and a reset arrive together, the event loop reports data and an end. A write distinguishes a reset from an
-  // end: it fails on a connection that was reset, and is discarded on one that has ended.
-  private probeForReset (socket: net.Socket): void {
-    if (!this.closeDelimited) return
-    socket.write('\r\n')
-    if (socket.errored !== null) this.wasReset = true
-  }
-
   // Called before undici reads, as its listener is added later.
   private checkBytesWithoutBody (socket: net.Socket): void {
     if (socket.bytesRead - this.bytesUpToBody > MAX_BYTES_WITHOUT_BODY) socket.destroy(new Error('too many bytes without a body'))
@@ -197,7 +183,6 @@
     if (status < MIN_STATUS) controller.abort(new Error(`malformed status ${status}`))
     if (this.finished || status < MIN_FINAL_STATUS) return
     this.mustClose = /\bclose\b/i.test(joinValues(headers.connection) ?? '')
-    this.connection.closeDelimited = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
     this.keepAliveMs = parseKeepAliveMs(joinValues(headers['keep-alive']))
     this.handler.onHead(status, headers)
   }
@@ -209,10 +194,6 @@
 
   onResponseEnd (): void {
     if (this.finished) return
-    if (this.connection.wasReset) {
-      this.onResponseError(undefined, new Error('connection reset'))
-      return
-    }
     this.finished = true
     this.connection.noteIdle(this.keepAliveMs)
     if (this.mustClose) this.connection.close()
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -62,6 +62,14 @@
     for (let attempt = 0; attempt < 20; attempt++) chai.expect((await send(pool, address)).kind).to.equal('fail')
   })
 
+  // A whole response was reported as a failure, as any error of a write was taken for a reset before the end.
+  it('treats a response without a length as whole when its server ended its side and reset the connection afterwards', async () => {
+    await using server = new ScriptedServer((socket) => socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nwhole', () => socket.resetAndDestroy()))
+    using pool = createPool()
+    const address = await server.listen()
+    for (let attempt = 0; attempt < 20; attempt++) chai.expect(await send(pool, address)).to.include({ kind: 'end', body: 'whole' })
+  })
+
   // A repetition of the response to the first attempt would bear the id of the second one too.
   it('sends two attempts of a call on different connections, and other calls on both', async () => {
     await using server = new ScriptedServer((socket) => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'))
