Pass the end of a connection on only to a reader that waits for more data

Callers lost all their requests at one gateway: its process ended when a stream without a length ended, or was reset, while the caller of that stream read slowly. Found while looking for the cause of the resets on related paths.

Cause: undici takes the end of a connection as the end of such a response at once, and asserts that its parser is not paused. The assertion fails in an event of the socket, outside of any call, so that it reaches the handler of uncaught exceptions. A reset came there by its code, which is no longer ECONNRESET; an end came there still.

Change: the socket holds an end back until a read has found no more data. A reader that is paused does not read. undici passes an empty chunk on after a pause; it no longer reaches the handler of the response, which could pause again there.

--- a/src/sockets/reset-detector.ts
+++ b/src/sockets/reset-detector.ts
@@ -13,7 +13,10 @@
   }
 }
 
-/** Makes `socket`, which undici opened, fail with a {@link ConnectionResetError} when the peer resets the connection. */
+/**
+ * Makes `socket`, which undici opened, fail with a {@link ConnectionResetError} when the peer resets the connection, and end
+ * only when its reader waits for more data.
+ */
 export function detectResets (socket: net.Socket): void {
   new ResetDetector(socket).install()
 }
@@ -28,8 +31,10 @@
   private readonly push: net.Socket['push']
   /** Whether an end was reported that has not been passed on. */
   private endHeld = false
-  /** Whether a write showed that the peer ended its side before it reset the connection. */
-  private endedBeforeReset = false
+  /** Whether the peer ended its side before any reset. */
+  private peerEnded = false
+  /** Whether the last read found no data. A reader that is paused does not read; undici fails an assertion when an end comes then. */
+  private drained = true
   private probed = false
 
   constructor (private readonly socket: net.Socket) {
@@ -39,18 +44,31 @@
   /** Replaces the methods through which the socket reports ends and errors. */
   install (): void {
     const { socket } = this
+    const read = socket.read.bind(socket)
     const write = socket._write.bind(socket)
     const writev = socket._writev!.bind(socket)
     const destroy = socket._destroy.bind(socket)
-    socket.push = (chunk, encoding) => chunk === null ? this.onEnd() : this.push(chunk, encoding)
+    socket.push = (chunk, encoding) => chunk === null ? this.onEnd() : this.onData(chunk, encoding)
+    socket.read = (size) => size === 0 ? read(0) as unknown : this.onRead(read(size))
     socket._write = (chunk, encoding, callback) => write(chunk, encoding, (err) => this.onWritten(err, callback))
     socket._writev = (chunks, callback) => writev(chunks, (err) => this.onWritten(err, callback))
     socket._destroy = (err, callback) => destroy(isError(err, 'ECONNRESET') ? new ConnectionResetError(err) : err, callback)
   }
 
+  private onData (chunk: unknown, encoding?: BufferEncoding): boolean {
+    this.drained = false
+    return this.push(chunk, encoding)
+  }
+
+  private onRead (chunk: unknown): unknown {
+    this.drained = chunk === null
+    this.passOnEnd()
+    return chunk
+  }
+
   private onEnd (): boolean {
     this.endHeld = true
-    if (this.endedBeforeReset || this.isConnected()) this.releaseEnd()
+    if (this.peerEnded || this.isConnected()) this.confirmEnd()
     // A write that is still waiting fails in this turn of the event loop.
     else if (this.socket.writableLength === 0) this.probe()
     return false
@@ -67,27 +85,28 @@
   }
 
   private onWritten (err: Error | null | undefined, callback: WriteCallback): void {
+    // What the peer sent before is still read; the write stays unfinished until the socket is destroyed.
     if (isError(err, 'EPIPE')) {
-      this.onEndBeforeReset()
+      this.confirmEnd()
       return
     }
     callback(err)
-    if (err == null && this.endHeld) this.onWrittenAfterEnd()
-  }
-
-  // What the peer sent before the end of its side is still read; the write stays unfinished until the socket is destroyed.
-  private onEndBeforeReset (): void {
-    this.endedBeforeReset = true
-    if (this.endHeld) this.releaseEnd()
+    if (err == null && this.endHeld && !this.peerEnded) this.onWrittenAfterEnd()
   }
 
   // The system may have accepted a write that waited before the connection was closed, but no probe after a reset.
   private onWrittenAfterEnd (): void {
-    if (this.probed) this.releaseEnd()
+    if (this.probed) this.confirmEnd()
     else this.probe()
   }
 
-  private releaseEnd (): void {
+  private confirmEnd (): void {
+    this.peerEnded = true
+    this.passOnEnd()
+  }
+
+  private passOnEnd (): void {
+    if (!this.endHeld || !this.peerEnded || !this.drained) return
     this.endHeld = false
     this.push(null)
     this.socket.read(0)
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -188,6 +188,8 @@
   }
 
   onResponseData (_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    // undici passes on an empty chunk after a pause; a pause during it could not be told from the wait for more data.
+    if (chunk.length === 0) return
     this.connection.noteProgress(chunk.length)
     if (!this.finished) this.handler.onData(chunk)
   }
--- a/test/upstream/connection-pool.test.ts
+++ b/test/upstream/connection-pool.test.ts
@@ -4,6 +4,7 @@
 import * as time from '../../src/time/index.js'
 import * as upstream from '../../src/upstream/index.js'
 import * as byteServer from '../support/byte-server.js'
+import * as earlyServer from '../support/early-server.js'
 
 type Script = (socket: net.Socket, request: string, index: number) => void
 
@@ -27,12 +28,27 @@
   readonly message?: string
 }
 
-async function send (pool: upstream.ConnectionPool, address: string, nonIdempotent = false, usedConnections = new upstream.UsedConnections()): Promise<Outcome> {
+interface SendOptions {
+  readonly nonIdempotent?: boolean
+  readonly usedConnections?: upstream.UsedConnections
+  /** Time for which the reader is paused after the head and after each part of the body, in ms. */
+  readonly pauseMs?: number
+}
+
+async function send (pool: upstream.ConnectionPool, address: string, { nonIdempotent = false, usedConnections = new upstream.UsedConnections(), pauseMs }: SendOptions = {}): Promise<Outcome> {
   return await new Promise((resolve) => {
     let body = ''
-    pool.send({ address, method: 'GET', path: '/', headers: ['host', 'h'], body: new Uint8Array(0), nonIdempotent, usedConnections }, {
-      onHead: () => {},
-      onData: (chunk) => { body += Buffer.from(chunk).toString() },
+    const pause = (): void => {
+      if (pauseMs === undefined) return
+      active.pause()
+      setTimeout(() => active.resume(), pauseMs)
+    }
+    const active = pool.send({ address, method: 'GET', path: '/', headers: ['host', 'h'], body: new Uint8Array(0), nonIdempotent, usedConnections }, {
+      onHead: pause,
+      onData: (chunk) => {
+        body += Buffer.from(chunk).toString()
+        pause()
+      },
       onEnd: () => resolve({ kind: 'end', body, written: true }),
       onError: (err) => resolve({ kind: 'fail', body, written: err.written, message: err.message })
     })
@@ -70,13 +86,28 @@
     for (let attempt = 0; attempt < 20; attempt++) chai.expect(await send(pool, address)).to.include({ kind: 'end', body: 'whole' })
   })
 
+  // An assertion of the HTTP client failed outside of any call, which ended the process.
+  for (const [close, outcome] of [['end', 'end'], ['endAndReset', 'end'], ['reset', 'fail']] as const) {
+    it(`waits with the end of a response without a length while its reader is paused: ${close}`, async () => {
+      const bodyBytes = 30_000
+      await using server = new ScriptedServer((socket) => {
+        socket.write(`HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n${'x'.repeat(bodyBytes)}`)
+        setTimeout(() => earlyServer.CLOSES[close](socket), 20)
+      })
+      using pool = createPool()
+      const { kind, body } = await send(pool, await server.listen(), { pauseMs: 60 })
+      chai.expect(kind).to.equal(outcome)
+      if (kind === 'end') chai.expect(body.length).to.equal(bodyBytes)
+    })
+  }
+
   // A repetition of the response to the first attempt would bear the id of the second one too.
   it('sends two attempts of a call on different connections, and other calls on both', async () => {
     await using server = new ScriptedServer((socket) => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'))
     using pool = createPool()
     const address = await server.listen()
     const usedConnections = new upstream.UsedConnections()
-    for (let attempt = 0; attempt < 3; attempt++) await send(pool, address, false, usedConnections)
+    for (let attempt = 0; attempt < 3; attempt++) await send(pool, address, { usedConnections })
     chai.expect(server.connections).to.equal(3)
     await Promise.all([0, 1, 2].map(async () => await send(pool, address)))
     chai.expect(server.connections).to.equal(3)
@@ -164,11 +195,11 @@
     using pool = createPool()
     const address = await server.listen()
     const idle = async (ms: number): Promise<void> => { await new Promise((resolve) => setTimeout(resolve, ms)) }
-    chai.expect(await send(pool, address, true)).to.include({ kind: 'end' })
+    chai.expect(await send(pool, address, { nonIdempotent: true })).to.include({ kind: 'end' })
     await idle(200)
-    chai.expect(await send(pool, address, true)).to.include({ kind: 'fail', written: true })
+    chai.expect(await send(pool, address, { nonIdempotent: true })).to.include({ kind: 'fail', written: true })
     for (let attempt = 0; attempt < 3; attempt++) {
-      chai.expect(await send(pool, address, true)).to.include({ kind: 'end' })
+      chai.expect(await send(pool, address, { nonIdempotent: true })).to.include({ kind: 'end' })
       await idle(200)
     }
     chai.expect(await send(pool, address)).to.include({ kind: 'end' })
