Treat a reset of a target's response as an error in the product's own entry

Callers of an entry got a part of a body as a whole response, on idempotent and on non-idempotent routes, when a plain service reset the connection in a response without a length. It did not take a long request. A process ended when such a response of an engine, or its reset, came while the caller's reading held its stream back.

Cause: the clients of targets used undici's own connections, which take a reset as the end of such a response, and assert that their parser is not paused then.

Change: they open connections through src/sockets, like the gateway.

Heads with the status 000, or with a blank or a control byte in a name, were errors before as well; the test stays.

--- a/src/target-clients/connection-pools.ts
+++ b/src/target-clients/connection-pools.ts
@@ -1,5 +1,6 @@
 /** Connection pools, one per target, each replaced when one of its connections stalls. */
 import * as undici from 'undici'
+import * as sockets from '../sockets/index.js'
 
 /** Timeout for opening a connection, in ms. */
 export const CONNECT_TIMEOUT_MS = 1_000
@@ -21,7 +22,7 @@
   /** The pool for new requests to a target. */
   poolFor (url: string): undici.Pool {
     const pool = this.pools.get(url) ?? new undici.Pool(url, {
-      connections: MAX_CONNECTIONS_PER_TARGET, pipelining: 1, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, connect: { timeout: CONNECT_TIMEOUT_MS }
+      connections: MAX_CONNECTIONS_PER_TARGET, pipelining: 1, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, connect: sockets.createConnector(CONNECT_TIMEOUT_MS)
     })
     this.pools.delete(url)
     this.pools.set(url, pool)
--- a/src/target-clients/http-clients.ts
+++ b/src/target-clients/http-clients.ts
@@ -1,5 +1,6 @@
 /** HTTP clients for all targets of a process. */
 import * as undici from 'undici'
+import * as sockets from '../sockets/index.js'
 import { CONNECT_TIMEOUT_MS, ConnectionPools, MAX_CONNECTIONS_PER_TARGET } from './connection-pools.js'
 import { HttpEngine } from './http-engine.js'
 import { HttpPlainTarget } from './http-plain.js'
@@ -14,7 +15,7 @@
   // A non-idempotent call uses a connection of its own: it must not be lost in a pooled connection that stalled
   // while idle.
   private readonly freshConnections = new undici.Agent({
-    connections: MAX_CONNECTIONS_PER_TARGET, pipelining: 0, connect: { timeout: CONNECT_TIMEOUT_MS }
+    connections: MAX_CONNECTIONS_PER_TARGET, pipelining: 0, connect: sockets.createConnector(CONNECT_TIMEOUT_MS)
   })
 
   engine (url: string): Engine {
--- a/test/gateway/truncated-response.test.ts
+++ b/test/gateway/truncated-response.test.ts
@@ -76,9 +76,9 @@
   responses = 0
 
   constructor (private readonly response: EarlyResponse) {
-    super((socket, id) => {
+    super((socket, request) => {
       this.responses++
-      socket.write(`HTTP/1.1 200 OK\r\nresponse-stamp: s\r\nrequest-id: ${id}\r\ncontent-type: text/event-stream\r\n\r\n`)
+      socket.write(`HTTP/1.1 200 OK\r\nresponse-stamp: s\r\nrequest-id: ${rawServer.requestId(request)}\r\ncontent-type: text/event-stream\r\n\r\n`)
       this.writeParts(socket, PARTS[response.kind])
     })
   }
--- a/test/support/early-server.ts
+++ b/test/support/early-server.ts
@@ -1,18 +1,18 @@
 /** Servers that respond before they have read the request. */
 import type * as net from 'node:net'
 import * as byteServer from './byte-server.js'
-import * as rawServer from './raw-server.js'
 
 /** Body of a request that the buffers of two sockets on loopback do not hold, so that its write waits; in bytes. */
 export const LONG_BODY_BYTES = 7_000_000
 
 /** An HTTP server that responds to the first bytes of a request, and reads no more of it. */
 export class EarlyServer extends byteServer.ByteServer {
-  constructor (respond: (socket: net.Socket, id: string) => void) {
+  /** `respond` gets the bytes that have arrived as text; they hold the head. */
+  constructor (respond: (socket: net.Socket, request: string) => void) {
     super((socket) => {
       socket.once('data', (data) => {
         socket.pause()
-        respond(socket, rawServer.requestId(data.toString('latin1')))
+        respond(socket, data.toString('latin1'))
       })
     }, { allowHalfOpen: true })
   }
