Treat a reset of a response of the platform as an error

A write to the platform's store, or a report, whose response was reset could count as done: an empty body is a valid response to a deletion, and the adapter takes an empty body as no body.

Cause: both clients of the platform used undici's own connections, which take a reset as the end of a response without a length.

Such a call is reported as sent, with an unknown outcome.

Malformed heads were errors in the adapter before as well; the test stays.

--- a/src/external/http-client.ts
+++ b/src/external/http-client.ts
@@ -3,12 +3,16 @@
 import * as z from 'zod'
 import * as bytes from '../bytes/index.js'
 import { Err, Ok, type Result } from '../errors/index.js'
+import * as sockets from '../sockets/index.js'
 import type {
   ExpectedVersion, ObjectStore, OrderedTarget, OrderError, Platform, ReportError, StoredObject, StoreError, TargetOrder, TargetOrdering,
   UsageBill, UsageReports, VmDirectory, VmRecord, WatchBatch
 } from './types.js'
 import * as wire from './wire.js'
 
+/** Timeout for opening a connection, in ms. */
+const CONNECT_TIMEOUT_MS = 1_000
+
 /** Timeout of a call, in ms. */
 const CALL_TIMEOUT_MS = 2_000
 
@@ -56,7 +60,7 @@
 
 /** Sends JSON requests and decodes the responses. */
 class JsonClient {
-  readonly agent = new undici.Agent({ connections: 64, pipelining: 1, connect: { timeout: 1_000 } })
+  readonly agent = new undici.Agent({ connections: 64, pipelining: 1, connect: sockets.createConnector(CONNECT_TIMEOUT_MS) })
 
   constructor (private readonly baseUrl: string) {}
 
--- a/test/platform/http-json.test.ts
+++ b/test/platform/http-json.test.ts
@@ -2,6 +2,8 @@
 import type * as net from 'node:net'
 import * as chai from 'chai'
 import * as httpJson from '../../platform/http-json.js'
+import * as earlyServer from '../support/early-server.js'
+import * as malformedResponses from '../support/malformed-responses.js'
 
 const PIECE = Buffer.alloc(256 * 1024, '"x",')
 
@@ -39,4 +41,35 @@
     chai.expect(result.err && result.val.message).to.contain('more than')
     while (!service.closed) await new Promise((resolve) => setTimeout(resolve, 10))
   })
+
+  // A response that was reset before its body counted as an empty one.
+  for (const [close, status] of [['reset', undefined], ['end', 200], ['endAndReset', 200]] as const) {
+    it(`takes a response without a length as whole only if the service ended it: ${close}`, async () => {
+      await using service = new earlyServer.EarlyServer((socket) => {
+        socket.write('HTTP/1.1 200 OK\r\n\r\n')
+        earlyServer.CLOSES[close](socket)
+      })
+      await using client = new httpJson.JsonClient(await service.listen())
+      const result = await client.call({ method: 'POST', path: '/', body: {}, timeoutMs: 5_000 })
+      chai.expect(result.ok ? result.val.status : undefined).to.equal(status)
+      if (result.err) chai.expect(result.val.sent).to.equal(true)
+    })
+  }
+
+  // Reported of other systems: answers with status 000, and lines whose name held a blank or a control byte, counted as answers.
+  it('takes no response with a malformed head', async () => {
+    for (const framing of malformedResponses.FRAMING_NAMES) {
+      let respond = malformedResponses.soundResponse(framing)
+      await using service = new earlyServer.EarlyServer((socket) => { socket.end(respond('a')) })
+      await using client = new httpJson.JsonClient(await service.listen())
+      const call = async (): Promise<boolean> => (await client.call({ method: 'GET', path: '/', timeoutMs: 5_000 })).ok
+      chai.expect(await call()).to.equal(true)
+      const accepted: string[] = []
+      for (const [name, response] of malformedResponses.malformedResponses(framing)) {
+        respond = response
+        if (await call()) accepted.push(name)
+      }
+      chai.expect(accepted).to.deep.equal([])
+    }
+  })
 })
