Treat a reset of a response of the operator interface as an error

An operator's command could report an order as accepted, or print a report, from a response that an entry did not finish: a response without a length that was reset counted as whole.

Cause: undici's own connections, as for the clients of targets and of the platform.

--- a/src/operator/http-client.ts
+++ b/src/operator/http-client.ts
@@ -4,6 +4,7 @@
 import * as bytes from '../bytes/index.js'
 import { Err, Ok, StepError, type Result } from '../errors/index.js'
 import { EntryReport } from '../report/index.js'
+import * as sockets from '../sockets/index.js'
 import * as validation from '../validation/index.js'
 import type { WithdrawalOutcome } from './types.js'
 
@@ -13,6 +14,9 @@
 /** Largest response, in bytes. */
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 
+/** Connections to all entries. */
+const AGENT = new undici.Agent({ connect: sockets.createConnector(CALL_TIMEOUT_MS) })
+
 const WithdrawalRes = z.object({ stored: z.boolean(), confirmed: validation.list(z.string()), unconfirmed: validation.list(z.string()) })
 
 /** Calls the operator interface of one entry; `address` is the `ip:port` of its operator listener. */
@@ -35,6 +39,7 @@
     try {
       const res = await undici.request(`http://${this.address}${path}`, {
         method,
+        dispatcher: AGENT,
         headers: this.token === undefined ? {} : { authorization: `Bearer ${this.token}` },
         headersTimeout: CALL_TIMEOUT_MS,
         bodyTimeout: CALL_TIMEOUT_MS
