--- a/src/sockets/index.ts
+++ b/src/sockets/index.ts
@@ -1,4 +1,3 @@
 /** Sockets that listen, and connections for HTTP clients. */
 export { listen, type ListenDeps } from './listen.js'
 export { createConnector } from './connector.js'
-export { ConnectionResetError } from './reset-detector.js'
--- a/src/sockets/reset-detector.ts
+++ b/src/sockets/reset-detector.ts
@@ -1,10 +1,10 @@
-/** Tells a reset of a connection from its end. */
+/** Tells a reset of a connection from its end, and passes the end on when the reader waits for more data. */
 import type * as net from 'node:net'
 
 /** Written to a closed connection to learn how it was closed; no peer receives it. */
 const PROBE = '\r\n'
 
-/** The peer reset the connection. The code differs from ECONNRESET, which undici takes as the end of a response without a length. */
+/** The peer reset the connection. Its code is not ECONNRESET, which undici takes as the end of a response without a length. */
 export class ConnectionResetError extends Error {
   readonly code = 'ERR_CONNECTION_RESET'
 
@@ -26,6 +26,8 @@
 /**
  * When data and a reset arrive together, libuv reports the data and then an end. How the connection was closed shows in the
  * error of a write: EPIPE when the peer had ended its side before the reset, else ECONNRESET.
+ *
+ * undici takes an end as the end of a response without a length, and asserts that its parser is not paused then.
  */
 class ResetDetector {
   private readonly push: net.Socket['push']
@@ -33,8 +35,9 @@
   private endHeld = false
   /** Whether the peer ended its side before any reset. */
   private peerEnded = false
-  /** Whether the last read found no data. A reader that is paused does not read; undici fails an assertion when an end comes then. */
+  /** Whether the last read found no more data; a paused reader stops before that. */
   private drained = true
+  /** Whether a probe was written. */
   private probed = false
 
   constructor (private readonly socket: net.Socket) {
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -188,7 +188,7 @@
   }
 
   onResponseData (_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
-    // undici passes on an empty chunk after a pause; a pause during it could not be told from the wait for more data.
+    // undici passes on an empty chunk after a pause; the response must not be paused again there, after its last read.
     if (chunk.length === 0) return
     this.connection.noteProgress(chunk.length)
     if (!this.finished) this.handler.onData(chunk)
