Gauges of the process's heap, buffers and tracked segments

Change: gauges of resident size, heap and its limit, buffers and tracked segments, measured when the metrics are read; memory_high has heap_bytes.

--- a/src/fleet/cache-estimate.ts
+++ b/src/fleet/cache-estimate.ts
@@ -48,6 +48,11 @@
     this.drop(id)
   }
 
+  /** Number of segments that are tracked. */
+  get size (): number {
+    return this.segments.size
+  }
+
   /** Tokens of all segments that are estimated to be cached. */
   get totalTokens (): number {
     return this.tokens
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -53,6 +53,13 @@
     return this.targets.values()
   }
 
+  /** Number of segments that the cache estimates of all targets track. */
+  get trackedSegments (): number {
+    let segments = 0
+    for (const { cache } of this.targets.values()) segments += cache.size
+    return segments
+  }
+
   // Load that this gateway puts on targets.
   private loadRows (): peerLoad.LoadRow[] {
     const rows: peerLoad.LoadRow[] = []
--- a/src/gateway/node.ts
+++ b/src/gateway/node.ts
@@ -182,6 +182,12 @@
     return this.directory.addresses()
   }
 
+  /** Sets the gauges that are measured only when the metrics are read. */
+  recordGauges (): void {
+    this.resources.recordSizes()
+    this.deps.metrics.set('godwitpoint_tracked_segments', '', this.fleet.trackedSegments)
+  }
+
   /**
    * Stops: releases the lease, serves new calls until callers have other addresses, and waits for the last calls. Further
    * calls of this method wait for the same stop.
--- a/src/resources/process-resources.ts
+++ b/src/resources/process-resources.ts
@@ -23,10 +23,17 @@
 /** Which objects are collected: those allocated recently, or all that are unused. */
 export type CollectionKind = 'minor' | 'major'
 
+/** Bytes of the heap that are in use, uncollected objects included, and the limit at which the process ends. */
+export interface HeapSize {
+  readonly usedBytes: number
+  readonly limitBytes: number
+}
+
 /** Size of this process, and its garbage collector. */
 export interface ProcessMemory {
   /** Resident bytes. */
   readonly residentBytes: () => number
+  readonly heapSize: () => HeapSize
   /** Collects unused objects; does nothing when Node runs without the flag for it. */
   readonly collect: (kind: CollectionKind) => void
 }
@@ -37,7 +44,7 @@
   readonly process: ProcessMemory
   readonly env: Pick<time.Env, 'clock' | 'timers'>
   readonly log: log.Logger
-  readonly metrics: Pick<metrics.Metrics, 'count'>
+  readonly metrics: Pick<metrics.Metrics, 'count' | 'set'>
 }
 
 /** What the components of a process share. */
@@ -72,6 +79,16 @@
     this.checkSize()
   }
 
+  /** Sets the gauges of the memory of the process. */
+  recordSizes (): void {
+    const { process, metrics } = this.deps
+    const { usedBytes, limitBytes } = process.heapSize()
+    metrics.set('godwitpoint_resident_bytes', '', process.residentBytes())
+    metrics.set('godwitpoint_heap_bytes', '', usedBytes)
+    metrics.set('godwitpoint_heap_limit_bytes', '', limitBytes)
+    metrics.set('godwitpoint_buffered_bytes', '', this.buffers.heldBytes)
+  }
+
   [Symbol.dispose] (): void {
     this.timer?.[Symbol.dispose]()
   }
@@ -90,13 +107,17 @@
   private noteHigh (residentBytes: number): void {
     this.highAt = this.deps.env.clock.now()
     this.deps.metrics.count('godwitpoint_memory_high_total')
-    this.deps.log.warn({ resident_bytes: residentBytes, limit_bytes: Math.round(this.limits.residentBytes), buffered_bytes: this.buffers.heldBytes }, 'memory_high')
+    const { usedBytes } = this.deps.process.heapSize()
+    this.deps.log.warn({ resident_bytes: residentBytes, limit_bytes: Math.round(this.limits.residentBytes), buffered_bytes: this.buffers.heldBytes, heap_bytes: usedBytes }, 'memory_high')
     // Connections are dropped when nothing is being parsed.
     setImmediate(() => this.buffers.reclaimTo(HIGH_MEMORY_BUFFER_SHARE))
   }
 }
 
+/** Memory of a process that is not measured. */
+export const NOT_MEASURED: ProcessMemory = { residentBytes: () => 0, heapSize: () => ({ usedBytes: 0, limitBytes: 0 }), collect: () => {} }
+
 /** Resources of a process whose VM is not known: the limits are constants, and nothing is measured. */
 export function ofUnknownVm (deps: Pick<ProcessResourcesDeps, 'env' | 'log' | 'metrics'>): ProcessResources {
-  return new ProcessResources({ ...deps, limits: processLimits.computeLimits({}, 0), process: { residentBytes: () => 0, collect: () => {} } })
+  return new ProcessResources({ ...deps, limits: processLimits.computeLimits({}, 0), process: NOT_MEASURED })
 }
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -22,6 +22,13 @@
     chai.expect(usableIds()).to.deep.equal(['b'])
   })
 
+  it('counts the segments that are tracked for all targets', () => {
+    const { knownTargets } = setUp()
+    knownTargets.apply([build.aTarget('a'), build.aTarget('b')])
+    for (const state of knownTargets.all()) for (const id of ['p', 'q']) state.cache.applyReport(id, 10)
+    chai.expect(knownTargets.trackedSegments).to.equal(4)
+  })
+
   it('removes a target that is missing from the list, but not while its record may have expired during a store outage', async () => {
     const { virtual, knownTargets, usableIds } = setUp()
     knownTargets.apply([build.aTarget('a'), build.aTarget('b')])
--- a/test/gateway/caller-limits.test.ts
+++ b/test/gateway/caller-limits.test.ts
@@ -28,7 +28,7 @@
       reply.send(HEAD, Buffer.alloc(responseBytes, 'ok'))
       return undefined
     }
-    this.resources = new resources.ProcessResources({ ...deps, limits: { ...resources.computeLimits({}, 0), ...limits }, process: { residentBytes: () => 0, collect: () => {} } })
+    this.resources = new resources.ProcessResources({ ...deps, limits: { ...resources.computeLimits({}, 0), ...limits }, process: resources.NOT_MEASURED })
     const callerLimits = { headerBytes: 16_384, bodyBytes: BODY_BYTES, headerTimeoutMs: 5_000, idleTimeoutMs }
     this.frontend = new httpFrontend.HttpFrontend({ ...deps, protocol: new callerProtocol.HttpCallerProtocol(), handler: { handle }, limits: () => callerLimits, accountOf: (key) => key, resources: this.resources })
   }
