Cache estimates keep nothing of past updates

Cause: each update of a segment deleted its entry in a Map and added it again, so V8 built the table of the Map anew every so often. An iterator that was kept for the least recently updated segment, and advanced only beyond 20,000 segments, refers to the table of its last step, that one to the next, and so to all later ones: 40 to 120 bytes for each update while the target lives. Ruled out: an iterator for each drop (7 us a drop at 20,000 entries, fails the test of the time); lru-cache with max (562 KB for each empty estimate). Change: the segments are in an LRUCache bounded by size (1.8 KB empty). It changes an entry in place and keeps the order in a linked list of its own, so nothing is deleted by an update and no iterator is needed.

--- a/src/fleet/cache-estimate.ts
+++ b/src/fleet/cache-estimate.ts
@@ -1,4 +1,5 @@
 /** Estimate of the prompt segments that a target has in its KV cache. */
+import * as lruCache from 'lru-cache'
 import type * as calls from '../call/index.js'
 import * as decayingSums from './decaying-sums.js'
 
@@ -23,9 +24,16 @@
 
 /** Cached tokens of each segment, as the target reported them or as this gateway's calls suggest. */
 export class CacheEstimate {
-  private readonly segments = new Map<string, CachedSegment>()
-  /** Goes on from the last segment dropped: a new iterator would pass all entries deleted before it each time. */
-  private readonly leastRecentlyUpdated = this.segments.keys()
+  /**
+   * Ordered by their last update, so they are read by `peek`. Their number is bounded by their size, since `max` would
+   * allocate space for all of them at once.
+   */
+  private readonly segments = new lruCache.LRUCache<string, CachedSegment>({
+    maxSize: MAX_SEGMENTS,
+    sizeCalculation: () => 1,
+    dispose: (segment) => { this.tokens -= segment.tokens }
+  })
+
   /** Tokens of all segments, and tokens of all segments that were ever added. */
   private tokens = 0
   private addedTokens = 0
@@ -45,7 +53,7 @@
       return
     }
     if (now !== undefined) this.evicted.add([this.tokensOf(id)], now)
-    this.drop(id)
+    this.segments.delete(id)
   }
 
   /** Number of segments that are tracked. */
@@ -66,7 +74,7 @@
     if (lostShare === 0) return 1
     let ageFactor = MIN_AGE_FACTOR
     for (const { id } of prompt.segments) {
-      const segment = this.segments.get(id)
+      const segment = this.segments.peek(id)
       if (segment === undefined) break
       ageFactor = Math.max(ageFactor, Math.min(MAX_AGE_FACTOR, 2 * (this.addedTokens - segment.confirmedAt) / Math.max(1, this.tokens)))
     }
@@ -75,7 +83,7 @@
 
   /** Tokens of a segment that are estimated to be cached. */
   tokensOf (id: string): number {
-    return this.segments.get(id)?.tokens ?? 0
+    return this.segments.peek(id)?.tokens ?? 0
   }
 
   /** Notes that the target has begun to prefill a prompt. */
@@ -94,7 +102,7 @@
 
   /** Tokens at the start of a prompt that are estimated to be cached. */
   cachedTokens (prompt: calls.Prompt): number {
-    return countLeading(prompt, (segment) => this.segments.get(segment.id)?.tokens)
+    return countLeading(prompt, (segment) => this.segments.peek(segment.id)?.tokens)
   }
 
   /**
@@ -102,7 +110,7 @@
    * prompts ahead of it that are being prefilled.
    */
   tokensCachedOnArrival (prompt: calls.Prompt): number {
-    return countLeading(prompt, (segment) => this.pending.has(segment.id) ? segment.tokens : this.segments.get(segment.id)?.tokens)
+    return countLeading(prompt, (segment) => this.pending.has(segment.id) ? segment.tokens : this.segments.peek(segment.id)?.tokens)
   }
 
   /** Empties the estimate: a target that restarts has an empty cache. */
@@ -112,17 +120,9 @@
   }
 
   private set (id: string, tokens: number): void {
-    const known = this.tokensOf(id)
-    this.segments.delete(id)
-    this.tokens += tokens - known
-    this.addedTokens += Math.max(0, tokens - known)
+    this.addedTokens += Math.max(0, tokens - this.tokensOf(id))
+    this.tokens += tokens
     this.segments.set(id, { tokens, confirmedAt: this.addedTokens })
-    if (this.segments.size > MAX_SEGMENTS) this.drop(this.leastRecentlyUpdated.next().value!)
-  }
-
-  private drop (id: string): void {
-    this.tokens -= this.tokensOf(id)
-    this.segments.delete(id)
   }
 }
 
