--- a/src/fleet/cache-estimate.ts
+++ b/src/fleet/cache-estimate.ts
@@ -31,6 +31,7 @@
   private readonly segments = new lruCache.LRUCache<string, CachedSegment>({
     maxSize: MAX_SEGMENTS,
     sizeCalculation: () => 1,
+    // Called with what an update replaces, too.
     dispose: (segment) => { this.tokens -= segment.tokens }
   })
 
